--- /dev/null
+++ b/core/catalog_hash.cpp
@@ -0,0 +1,126 @@
+#include "core/catalog_hash.h"
+
+#include <string>
+
+#include <xxhash.h>
+
+#include "core/catalog.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Feeds typed fields into one streaming xxHash state. */
+class FieldHasher
+{
+public:
+    FieldHasher() : state_(XXH64_createState()) { XXH64_reset(state_, 0); }
+
+    ~FieldHasher() { XXH64_freeState(state_); }
+
+    FieldHasher(const FieldHasher &) = delete;
+    FieldHasher &operator=(const FieldHasher &) = delete;
+
+    void add(std::uint64_t value) { XXH64_update(state_, &value, sizeof value); }
+
+    void add(const std::string &text)
+    {
+        add(static_cast<std::uint64_t>(text.size()));
+        XXH64_update(state_, text.data(), text.size());
+    }
+
+    void add(Duration duration) { add(static_cast<std::uint64_t>(duration.count())); }
+
+    template<typename Tag>
+    void add(const Name<Tag> &name)
+    {
+        add(name.text());
+    }
+
+    template<typename Element>
+    void add(const std::vector<Element> &elements)
+    {
+        add(static_cast<std::uint64_t>(elements.size()));
+        for (const Element &element : elements) {
+            add(element);
+        }
+    }
+
+    std::uint64_t digest() const { return XXH64_digest(state_); }
+
+private:
+    XXH64_state_t *state_;
+};
+
+void addEntity(FieldHasher &hasher, const RequestClass &entity)
+{
+    hasher.add(entity.name);
+    hasher.add(std::uint64_t(entity.tier));
+    hasher.add(std::uint64_t(entity.idempotent));
+    hasher.add(entity.firstTokenTarget);
+    hasher.add(entity.tokenGapTarget);
+    hasher.add(entity.defaultDeadline);
+    hasher.add(std::uint64_t(entity.guaranteedPerMille));
+    hasher.add(std::uint64_t(entity.preemptible));
+}
+
+void addEntity(FieldHasher &hasher, const Team &entity)
+{
+    hasher.add(entity.name);
+    hasher.add(std::uint64_t(entity.weight));
+    hasher.add(std::uint64_t(entity.maxInFlight));
+    hasher.add(entity.keyHashes);
+    hasher.add(entity.classes);
+}
+
+void addEntity(FieldHasher &hasher, const Model &entity)
+{
+    hasher.add(entity.name);
+    hasher.add(entity.version);
+    hasher.add(entity.adapter);
+}
+
+void addEntity(FieldHasher &hasher, const Pool &entity)
+{
+    hasher.add(entity.name);
+    hasher.add(entity.model);
+    hasher.add(entity.service);
+    hasher.add(std::uint64_t(entity.minimumReady));
+    hasher.add(std::uint64_t(entity.maxLoading));
+}
+
+void addEntity(FieldHasher &hasher, const Upstream &entity)
+{
+    hasher.add(entity.name);
+    hasher.add(entity.pool);
+    hasher.add(entity.dataCenter);
+    hasher.add(entity.address);
+    hasher.add(std::uint64_t(entity.seats));
+    hasher.add(std::uint64_t(entity.checksFence));
+    hasher.add(std::uint64_t(entity.leaving));
+    hasher.add(entity.role);
+}
+
+template<typename Key, typename Row>
+void addTable(FieldHasher &hasher, const Table<Key, Row> &table)
+{
+    hasher.add(static_cast<std::uint64_t>(table.size()));
+    for (const auto &[key, row] : table) {
+        addEntity(hasher, row);
+    }
+}
+
+} // namespace
+
+std::uint64_t hashCatalog(const Catalog &catalog)
+{
+    FieldHasher hasher;
+    addTable(hasher, catalog.classes());
+    addTable(hasher, catalog.teams());
+    addTable(hasher, catalog.models());
+    addTable(hasher, catalog.pools());
+    addTable(hasher, catalog.upstreams());
+    return hasher.digest();
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Builds everything and runs every test. Tests listed in KNOWN-RED.txt are run and reported apart.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+jobs="${GERANIUM_JOBS:-$(nproc)}"
+cmake --preset release >/dev/null
+cmake --build --preset release -j "$jobs"
+known_red=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' - || true)
+exclude=()
+[ -n "$known_red" ] && exclude=(-E "^($known_red)\$")
+ctest --preset release -j 4 "${exclude[@]}"
+if [ -n "$known_red" ]; then
+    echo "known red, not part of the verdict:"
+    cat KNOWN-RED.txt
+    if ctest --preset release -R "^($known_red)\$" >/dev/null 2>&1; then
+        echo "NOTE: every entry of KNOWN-RED.txt is green now; take it off the list"
+    fi
+fi
