Fix the public headers of every package

Cause: packages are built side by side and meet only at these headers, so the interfaces stand before the code.

--- a/core/events.h
+++ b/core/events.h
@@ -74,7 +74,7 @@
     AttemptId attempt;
     unsigned status = 0;
     std::string contentType;
-    /** Value of the upstream's Geranium-Attempt header; empty if it sends none. */
+    /** Value of the upstream's X-Request-Id header; empty if it sends none. */
     std::string echoedAttempt;
     /** True if the upstream announced in a header that it is leaving. */
     bool leaving = false;
--- /dev/null
+++ b/servers/tickets/ticket_system.h
@@ -0,0 +1,62 @@
+/** Acceptance and distribution of change tickets on one node. */
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+/** Where a node stands. */
+struct TicketStanding
+{
+    TicketNumber head;
+    std::uint64_t digest = 0;
+    StoreEpoch epoch;
+    /** True once the node has the highest head heard from the store or a peer. Only then may it take requests. */
+    bool caughtUp = false;
+
+    auto operator<=>(const TicketStanding &) const = default;
+};
+
+/** Keeps the chain of tickets and the catalog that they add up to. */
+class TicketSystem
+{
+public:
+    TicketSystem(NodeName self, OperationCounter &operations, std::uint64_t seed);
+    ~TicketSystem();
+
+    /** Validates the ticket whole and writes it with one transaction. Ends in a TicketVerdict command. */
+    void submitted(const TicketSubmission &submission, TimePoint now, Commands &commands);
+
+    /** Compares the peer's head with the own one and asks for what is missing. */
+    void heartbeatReceived(const Heartbeat &heartbeat, TimePoint now, Commands &commands);
+
+    void batchReceived(const NodeName &from, const TicketBatch &batch, TimePoint now, Commands &commands);
+    void fetchReceived(const NodeName &from, const TicketFetch &fetch, Commands &commands);
+    void snapshotAsked(const NodeName &from, Commands &commands);
+    void snapshotReceived(const NodeName &from, const Snapshot &snapshot, TimePoint now, Commands &commands);
+
+    /** False if the operation is not one of this system's. */
+    bool storeAnswered(const StoreResult &result, TimePoint now, Commands &commands);
+
+    /** delegate: true if this node reads the head from the store; pushTo: the nodes that a delegate sends new tickets
+     * to (the own data centre's nodes and one delegate of each other). */
+    void tick(bool delegate, const std::vector<NodeName> &pushTo, TimePoint now, Commands &commands);
+
+    /** The catalog in force. Never null; replaced whole when a ticket is applied. */
+    const CatalogPtr &catalog() const;
+
+    TicketStanding standing() const;
+
+    /** An accepted ticket that this node still holds. */
+    std::optional<TicketRecord> record(TicketNumber number) const;
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/tickets/tickets.h
@@ -0,0 +1,8 @@
+/**
+ * Public header of the tickets package: text form and validation of change tickets, their acceptance in the table
+ * service, and their distribution to all nodes. I/O-free.
+ */
+#pragma once
+
+#include "servers/tickets/ticket.h"
+#include "servers/tickets/ticket_system.h"
