Add the scheduler's queue, seats, grants and refusals

Tiers in strict order, start-time fair queuing over teams, earliest deadline first within a team; seats per upstream with one owner per attempt; cancel, end, registration, lost ingress, leaving and held upstreams, summaries. Every grant and refusal has a decision record.

A request whose last upstream leaves, or whose class is removed, is refused at the next tick and not kept until its deadline.

--- /dev/null
+++ b/servers/scheduling/waiting_queue.cpp
@@ -0,0 +1,228 @@
+#include "servers/scheduling/waiting_queue.h"
+
+#include <algorithm>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Idle teams of a class that are remembered before those without a debt are dropped. */
+constexpr std::size_t MaxIdleTeams = 1024;
+
+} // namespace
+
+ClassRank WaitingQueue::rankOf(const WaitingRequest &waiting)
+{
+    return ClassRank { waiting.tier, waiting.request.requestClass };
+}
+
+void WaitingQueue::push(WaitingRequest waiting)
+{
+    const RequestId id = waiting.request.request;
+    if (const WaitingRequest *previous = find(id); previous != nullptr) {
+        waiting.sequence = previous->sequence;
+        waiting.arrived = previous->arrived;
+        erase(id);
+    }
+    ClassQueue &queue = classes_[rankOf(waiting)];
+    TeamQueue &team = queue.teams[waiting.request.team];
+    if (team.requests.empty()) {
+        team.startTag = std::max(team.startTag, queue.virtualTime);
+        queue.active.emplace(team.startTag, waiting.request.team);
+    }
+    const DeadlineKey key { waiting.deadline, waiting.sequence };
+    team.requests.emplace(key, id);
+    queue.byArrival.emplace(waiting.sequence, id);
+    queue.byDeadline.emplace(key, id);
+    deadlines_.emplace(key, id);
+    arrivals_.emplace(waiting.sequence, id);
+    requests_.emplace(id, std::move(waiting));
+}
+
+const WaitingRequest *WaitingQueue::find(const RequestId &request) const
+{
+    const std::unordered_map<RequestId, WaitingRequest>::const_iterator found = requests_.find(request);
+    return found == requests_.end() ? nullptr : &found->second;
+}
+
+void WaitingQueue::unlink(const WaitingRequest &waiting)
+{
+    ClassQueue &queue = classes_[rankOf(waiting)];
+    TeamQueue &team = queue.teams[waiting.request.team];
+    const DeadlineKey key { waiting.deadline, waiting.sequence };
+    team.requests.erase(key);
+    if (team.requests.empty()) {
+        queue.active.erase({ team.startTag, waiting.request.team });
+        forgetIdleTeams(queue);
+    }
+    queue.byArrival.erase(waiting.sequence);
+    queue.byDeadline.erase(key);
+    deadlines_.erase(key);
+    arrivals_.erase(waiting.sequence);
+}
+
+bool WaitingQueue::erase(const RequestId &request)
+{
+    const WaitingRequest *waiting = find(request);
+    if (waiting == nullptr) {
+        return false;
+    }
+    unlink(*waiting);
+    requests_.erase(request);
+    return true;
+}
+
+WaitingRequest WaitingQueue::take(const RequestId &request, double cost, std::uint32_t weight)
+{
+    const std::unordered_map<RequestId, WaitingRequest>::iterator found = requests_.find(request);
+    WaitingRequest waiting = std::move(found->second);
+    requests_.erase(found);
+    charge(waiting, cost, weight);
+    unlink(waiting);
+    return waiting;
+}
+
+void WaitingQueue::charge(const WaitingRequest &waiting, double cost, std::uint32_t weight)
+{
+    ClassQueue &queue = classes_[rankOf(waiting)];
+    TeamQueue &team = queue.teams[waiting.request.team];
+    queue.active.erase({ team.startTag, waiting.request.team });
+    queue.virtualTime = std::max(queue.virtualTime, team.startTag);
+    team.startTag += cost / std::max<double>(weight, 1.0);
+    queue.active.emplace(team.startTag, waiting.request.team);
+}
+
+void WaitingQueue::forgetIdleTeams(ClassQueue &queue)
+{
+    if (queue.teams.size() <= queue.active.size() + MaxIdleTeams) {
+        return;
+    }
+    std::erase_if(queue.teams, [&queue](const std::pair<const TeamName, TeamQueue> &entry) {
+        return entry.second.requests.empty() && entry.second.startTag <= queue.virtualTime;
+    });
+}
+
+std::vector<ClassRank> WaitingQueue::ranks() const
+{
+    std::vector<ClassRank> ranks;
+    for (const auto &[rank, queue] : classes_) {
+        if (!queue.byArrival.empty()) {
+            ranks.push_back(rank);
+        }
+    }
+    return ranks;
+}
+
+std::vector<RequestId> WaitingQueue::candidates(const ClassRank &rank, std::size_t limit) const
+{
+    std::vector<RequestId> found;
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    if (queue == classes_.end()) {
+        return found;
+    }
+    for (const auto &[startTag, name] : queue->second.active) {
+        if (found.size() >= limit) {
+            return found;
+        }
+        found.push_back(queue->second.teams.at(name).requests.begin()->second);
+    }
+    for (const auto &[startTag, name] : queue->second.active) {
+        const std::map<DeadlineKey, RequestId> &requests = queue->second.teams.at(name).requests;
+        for (std::map<DeadlineKey, RequestId>::const_iterator next = std::next(requests.begin());
+             next != requests.end() && found.size() < limit;
+             ++next) {
+            found.push_back(next->second);
+        }
+    }
+    return found;
+}
+
+std::size_t WaitingQueue::sizeOf(const ClassRank &rank) const
+{
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    return queue == classes_.end() ? 0 : queue->second.byArrival.size();
+}
+
+const WaitingRequest *WaitingQueue::newestOf(const ClassRank &rank) const
+{
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    if (queue == classes_.end() || queue->second.byArrival.empty()) {
+        return nullptr;
+    }
+    return find(queue->second.byArrival.rbegin()->second);
+}
+
+const WaitingRequest *WaitingQueue::oldestOf(const ClassRank &rank) const
+{
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    if (queue == classes_.end() || queue->second.byArrival.empty()) {
+        return nullptr;
+    }
+    return find(queue->second.byArrival.begin()->second);
+}
+
+const WaitingRequest *WaitingQueue::newestOfLowest() const
+{
+    const WaitingRequest *newest = nullptr;
+    for (std::map<ClassRank, ClassQueue>::const_reverse_iterator queue = classes_.rbegin(); queue != classes_.rend();
+         ++queue) {
+        if (queue->second.byArrival.empty()) {
+            continue;
+        }
+        if (newest != nullptr && queue->first.tier < newest->tier) {
+            break;
+        }
+        const WaitingRequest *last = newestOf(queue->first);
+        newest = newest == nullptr || last->sequence > newest->sequence ? last : newest;
+    }
+    return newest;
+}
+
+std::vector<RequestId> WaitingQueue::expired(TimePoint now) const
+{
+    std::vector<RequestId> found;
+    for (const auto &[key, id] : deadlines_) {
+        if (key.first > now) {
+            break;
+        }
+        found.push_back(id);
+    }
+    return found;
+}
+
+std::vector<RequestId> WaitingQueue::byDeadline(const ClassRank &rank) const
+{
+    std::vector<RequestId> found;
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    if (queue == classes_.end()) {
+        return found;
+    }
+    found.reserve(queue->second.byDeadline.size());
+    for (const auto &[key, id] : queue->second.byDeadline) {
+        found.push_back(id);
+    }
+    return found;
+}
+
+std::vector<RequestId> WaitingQueue::from(const NodeName &node) const
+{
+    std::vector<RequestId> found;
+    for (const auto &[sequence, id] : arrivals_) {
+        if (requests_.at(id).from == node) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+std::vector<RequestId> WaitingQueue::all() const
+{
+    std::vector<RequestId> found;
+    found.reserve(arrivals_.size());
+    for (const auto &[sequence, id] : arrivals_) {
+        found.push_back(id);
+    }
+    return found;
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/waiting_queue.h
@@ -0,0 +1,105 @@
+/**
+ * Requests of one shard that wait for a seat: classes in tier order, start-time fair queuing over the teams of a class,
+ * earliest deadline first within a team.
+ */
+#pragma once
+
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "servers/scheduling/waiting_request.h"
+
+namespace GeraniumLever {
+
+/** A class in the order in which tiers are served. */
+struct ClassRank
+{
+    std::uint32_t tier = 0;
+    ClassName name;
+
+    auto operator<=>(const ClassRank &) const = default;
+};
+
+/** Waiting requests; every operation is logarithmic in the length of the queue. */
+class WaitingQueue
+{
+public:
+    /** Adds a request; a waiting one with the same identifier is replaced but keeps its place in arrival order. */
+    void push(WaitingRequest waiting);
+
+    /** The request, or nullptr. Valid until the queue changes. */
+    const WaitingRequest *find(const RequestId &request) const;
+
+    /** Removes a request without charging its team; false if it is not there. */
+    bool erase(const RequestId &request);
+
+    /** Removes a request that has been granted, and charges its team with cost / weight. */
+    WaitingRequest take(const RequestId &request, double cost, std::uint32_t weight);
+
+    /** Classes with waiting requests, highest tier first. */
+    std::vector<ClassRank> ranks() const;
+
+    /** Up to limit requests of a class in the order of service, the first of each team before any second. */
+    std::vector<RequestId> candidates(const ClassRank &rank, std::size_t limit) const;
+
+    /** Number of waiting requests of a class. */
+    std::size_t sizeOf(const ClassRank &rank) const;
+
+    /** The request of a class that arrived last, or nullptr. */
+    const WaitingRequest *newestOf(const ClassRank &rank) const;
+
+    /** The request of a class that arrived first, or nullptr. */
+    const WaitingRequest *oldestOf(const ClassRank &rank) const;
+
+    /** The newest request of the lowest tier, or nullptr. */
+    const WaitingRequest *newestOfLowest() const;
+
+    /** Requests whose deadline is not after now, earliest first. */
+    std::vector<RequestId> expired(TimePoint now) const;
+
+    /** Requests of a class, earliest deadline first. */
+    std::vector<RequestId> byDeadline(const ClassRank &rank) const;
+
+    /** Requests that came from a node. */
+    std::vector<RequestId> from(const NodeName &node) const;
+
+    /** Every waiting request, in order of arrival. */
+    std::vector<RequestId> all() const;
+
+    std::size_t size() const { return requests_.size(); }
+    bool empty() const { return requests_.empty(); }
+
+private:
+    using DeadlineKey = std::pair<TimePoint, std::uint64_t>;
+
+    struct TeamQueue
+    {
+        /** Virtual time at which the team's next request starts. */
+        double startTag = 0.0;
+        std::map<DeadlineKey, RequestId> requests;
+    };
+
+    struct ClassQueue
+    {
+        double virtualTime = 0.0;
+        std::map<TeamName, TeamQueue> teams;
+        /** Teams with waiting requests, by start tag. */
+        std::set<std::pair<double, TeamName>> active;
+        std::map<std::uint64_t, RequestId> byArrival;
+        std::map<DeadlineKey, RequestId> byDeadline;
+    };
+
+    static ClassRank rankOf(const WaitingRequest &waiting);
+    void unlink(const WaitingRequest &waiting);
+    void charge(const WaitingRequest &waiting, double cost, std::uint32_t weight);
+    static void forgetIdleTeams(ClassQueue &queue);
+
+    std::unordered_map<RequestId, WaitingRequest> requests_;
+    std::map<ClassRank, ClassQueue> classes_;
+    std::map<DeadlineKey, RequestId> deadlines_;
+    std::map<std::uint64_t, RequestId> arrivals_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/servers/scheduling/scheduling_system_test.cpp
@@ -0,0 +1,172 @@
+#include "tests/servers/scheduling/scheduling_fixture.h"
+
+namespace GeraniumLever {
+namespace {
+
+using SchedulingSystemTest = SchedulingFixture;
+
+TEST_F(SchedulingSystemTest, GrantsAtOnceWhileSeatsAreFreeAndNeverMore)
+{
+    useCatalog(2, 2);
+    for (std::uint64_t number = 1; number <= 5; ++number) {
+        ask(number, "live");
+    }
+    EXPECT_EQ(sent<SlotGrant>().size(), 4U);
+    EXPECT_EQ(decisions("grant"), 4U);
+    EXPECT_EQ(system_.inFlightAt(UpstreamName("u0")), 2U);
+    EXPECT_EQ(system_.inFlightAt(UpstreamName("u1")), 2U);
+    end(sent<SlotGrant>().front(), AttemptEnding::Completed);
+    EXPECT_EQ(sent<SlotGrant>().size(), 5U);
+}
+
+TEST_F(SchedulingSystemTest, HigherTierGoesFirst)
+{
+    useCatalog(1, 1);
+    ask(1, "sort");
+    ask(2, "letter");
+    ask(3, "live");
+    end(sent<SlotGrant>().back(), AttemptEnding::Completed);
+    EXPECT_EQ(sent<SlotGrant>().back().request, RequestId(9, 3));
+}
+
+TEST_F(SchedulingSystemTest, RefusesAtTheDeadlineWithRetryAfter)
+{
+    useCatalog(1, 1);
+    ask(1, "sort");
+    SlotRequest late = requestOf(2, "sort");
+    late.timeLeft = std::chrono::milliseconds(50);
+    system_.slotRequested(ingress_, late, clock_.now(), commands_);
+    run(std::chrono::milliseconds(50));
+    ASSERT_EQ(sent<SlotRefusal>().size(), 1U);
+    EXPECT_EQ(sent<SlotRefusal>().front().request, late.request);
+    EXPECT_GT(sent<SlotRefusal>().front().retryAfter, Duration(0));
+    EXPECT_EQ(decisions("refuse"), 1U);
+}
+
+TEST_F(SchedulingSystemTest, RepeatOfAGrantedRequestGetsTheSameGrant)
+{
+    useCatalog(1, 2);
+    ask(1, "live");
+    ask(1, "live");
+    ASSERT_EQ(sent<SlotGrant>().size(), 2U);
+    EXPECT_EQ(sent<SlotGrant>().front(), sent<SlotGrant>().back());
+    EXPECT_EQ(system_.inFlightAt(UpstreamName("u0")), 1U);
+}
+
+TEST_F(SchedulingSystemTest, RetryThatExcludesItsUpstreamGetsAnotherSeat)
+{
+    useCatalog(2, 1);
+    ask(1, "live");
+    SlotRequest retry = requestOf(1, "live");
+    retry.retry = true;
+    retry.excluded = { sent<SlotGrant>().front().upstream };
+    system_.slotRequested(ingress_, retry, clock_.now(), commands_);
+    ASSERT_EQ(sent<SlotGrant>().size(), 2U);
+    EXPECT_NE(sent<SlotGrant>().back().upstream, sent<SlotGrant>().front().upstream);
+    EXPECT_EQ(system_.inFlightAt(sent<SlotGrant>().front().upstream), 0U);
+}
+
+TEST_F(SchedulingSystemTest, CancelFreesTheQueuePlaceOrTheSeat)
+{
+    useCatalog(1, 1);
+    ask(1, "live");
+    ask(2, "live");
+    ask(3, "live");
+    system_.slotCancelled(ingress_, SlotCancel { RequestId(9, 2), shard_ }, clock_.now(), commands_);
+    system_.slotCancelled(ingress_, SlotCancel { RequestId(9, 1), shard_ }, clock_.now(), commands_);
+    EXPECT_EQ(sent<SlotGrant>().back().request, RequestId(9, 3));
+    EXPECT_EQ(sent<SlotGrant>().size(), 2U);
+}
+
+TEST_F(SchedulingSystemTest, LostIngressFreesItsSeatsAndQueuePlaces)
+{
+    useCatalog(1, 1);
+    ask(1, "live");
+    ask(2, "live");
+    system_.slotRequested(NodeName("entry-3"), requestOf(3, "live"), clock_.now(), commands_);
+    system_.nodeLost(ingress_, clock_.now(), commands_);
+    EXPECT_EQ(sent<SlotGrant>().back().request, RequestId(9, 3));
+    EXPECT_EQ(system_.inFlightAt(UpstreamName("u0")), 1U);
+}
+
+TEST_F(SchedulingSystemTest, RegisteredAttemptsTakeSeats)
+{
+    useCatalog(1, 1);
+    AttemptRegistration registration;
+    registration.attempt = AttemptId(5, 5);
+    registration.request = RequestId(9, 50);
+    registration.shard = shard_;
+    registration.upstream = UpstreamName("u0");
+    registration.requestClass = ClassName("sort");
+    system_.attemptRegistered(ingress_, registration, clock_.now());
+    ask(1, "live");
+    EXPECT_TRUE(sent<SlotGrant>().empty());
+    end(SlotGrant { registration.request, registration.attempt, registration.upstream, shard_ },
+        AttemptEnding::Completed);
+    EXPECT_EQ(sent<SlotGrant>().size(), 1U);
+}
+
+TEST_F(SchedulingSystemTest, LeavingOrHeldUpstreamsGetNothing)
+{
+    useCatalog(2, 4);
+    system_.upstreamLeaving(UpstreamName("u0"), true, clock_.now());
+    ask(1, "live");
+    EXPECT_EQ(sent<SlotGrant>().back().upstream, UpstreamName("u1"));
+    system_.upstreamHeld(UpstreamName("u1"), true, clock_.now());
+    ask(2, "live");
+    ASSERT_EQ(sent<SlotRefusal>().size(), 1U);
+    EXPECT_EQ(sent<SlotRefusal>().front().code, ResultCode::NoUpstream);
+}
+
+TEST_F(SchedulingSystemTest, QueuedRequestsAreRefusedWhenTheLastUpstreamLeaves)
+{
+    useCatalog(1, 1);
+    ask(1, "live");
+    ask(2, "live");
+    system_.upstreamLeaving(UpstreamName("u0"), true, clock_.now());
+    run(std::chrono::milliseconds(5));
+    ASSERT_EQ(sent<SlotRefusal>().size(), 1U);
+    EXPECT_EQ(sent<SlotRefusal>().front().request, RequestId(9, 2));
+}
+
+TEST_F(SchedulingSystemTest, RemovedClassesAndShardsRefuseWhatWaits)
+{
+    useCatalog(1, 1);
+    ask(1, "live");
+    ask(2, "sort");
+    ask(3, "letter");
+    catalog_ = std::make_shared<const Catalog>(
+        catalog_->withChanges({ Removal { EntityKind::RequestClass, "sort" } }, TicketNumber(2)));
+    system_.applyCatalog(catalog_, clock_.now());
+    run(std::chrono::milliseconds(5));
+    ASSERT_EQ(sent<SlotRefusal>().size(), 1U);
+    EXPECT_EQ(sent<SlotRefusal>().back().code, ResultCode::UnknownClass);
+    catalog_ = std::make_shared<const Catalog>(
+        catalog_->withChanges({ Removal { EntityKind::Upstream, "u0" } }, TicketNumber(3)));
+    system_.applyCatalog(catalog_, clock_.now());
+    run(std::chrono::milliseconds(5));
+    EXPECT_EQ(sent<SlotRefusal>().back().request, RequestId(9, 3));
+}
+
+TEST_F(SchedulingSystemTest, SeatShareLimitsEveryUpstream)
+{
+    useCatalog(2, 8);
+    system_.setSeatShare(0.25);
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        ask(number, "live");
+    }
+    EXPECT_EQ(sent<SlotGrant>().size(), 4U);
+}
+
+TEST_F(SchedulingSystemTest, SummariesCountFreeSeats)
+{
+    useCatalog(2, 4);
+    ask(1, "live");
+    const std::vector<PoolSummary> summaries = system_.summaries(clock_.now());
+    ASSERT_EQ(summaries.size(), 1U);
+    EXPECT_EQ(summaries.front().totalSeats, 8U);
+    EXPECT_EQ(summaries.front().freeSeats, 7U);
+}
+
+} // namespace
+} // namespace GeraniumLever
