--- /dev/null
+++ b/servers/claims/claim_calls.h
@@ -0,0 +1,131 @@
+/** The calls of this node's callers on their way to a claim: row reads, queries to other holders, replays. */
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+#include "servers/claims/claim_row.h"
+#include "servers/claims/claim_writer.h"
+
+namespace GeraniumLever {
+
+/** One request of a caller, from its look-up until it is refused, replayed, or handed to the claim writer for good. */
+struct ClaimCall
+{
+    enum class Kind : std::uint8_t {
+        /** Only the caller's question what became of the key. */
+        Status,
+        LookUp,
+        Claim,
+    };
+
+    enum class Stage : std::uint8_t {
+        /** The row is being read. */
+        Reading,
+        /** The node that holds the claim is being asked. */
+        Querying,
+        /** The recorded answer's body is being read from the object store. */
+        Fetching,
+        /** The row may be claimed under `condition`. */
+        Claimable,
+        /** The claim writer has the claim. */
+        Owner,
+    };
+
+    ClaimRequest request;
+    std::string key;
+    Kind kind = Kind::LookUp;
+    Stage stage = Stage::Reading;
+    /** The read under way, in Reading and Fetching. */
+    OperationId operation;
+    /** When the stage is given up. */
+    TimePoint timeout;
+    TableCondition condition;
+    AttemptId attempt;
+    /** The row that the stages Querying and Fetching are about, and its version. */
+    ClaimRow row;
+    std::uint64_t rowVersion = 0;
+    /** Finished or NotKnown, if the row's holder said so of this version of the row. */
+    std::optional<ClaimStanding> standing;
+    /** How often a holder said so. */
+    unsigned rereads = 0;
+
+    bool operator==(const ClaimCall &) const = default;
+};
+
+/**
+ * Decides each call by its row. A call is told "not run" only after its row was read and showed no earlier run, or
+ * because its own attempt was abandoned first; otherwise the outcome is unknown.
+ */
+class ClaimCalls
+{
+public:
+    ClaimCalls(NodeName self, Incarnation incarnation, OperationCounter &operations, ClaimWriter &writer);
+
+    void lookUp(const ClaimRequest &request, Commands &commands);
+    void claim(const RequestId &request, const AttemptId &attempt, TimePoint now, Commands &commands);
+    void statusAsked(const ClaimRequest &request, TimePoint now, Commands &commands);
+
+    /** The call, or nullptr. */
+    const ClaimCall *find(const RequestId &request) const { return calls_.find(request); }
+
+    /** Drops a call that has left this class's care. */
+    void forget(RequestId request);
+
+    /** False if the operation is not one of a call. */
+    bool storeAnswered(const StoreResult &result, TimePoint now, Commands &commands);
+
+    void replied(const NodeName &from, const ClaimReply &reply, TimePoint now, Commands &commands);
+    void nodeLost(const NodeName &node, Commands &commands);
+    void tick(TimePoint now, Commands &commands);
+
+    /** Takes over what the claim writer has found out about insertions. */
+    void takeInsertResults(TimePoint now, Commands &commands);
+
+    std::vector<ClaimNotice> takeNotices();
+    std::vector<ClaimStatus> takeStatuses();
+
+private:
+    void begin(ClaimCall call, Commands &commands);
+    void readRow(ClaimCall &call, Commands &commands);
+    void decideLocally(const ClaimCall &call, const OwnClaim &claim, Commands &commands);
+    void decide(const RequestId &request, const TableRow *row, TimePoint now, Commands &commands);
+    void decideClaimed(ClaimCall &call, TimePoint now, Commands &commands);
+    void decideStanding(const RequestId &request, ClaimStanding standing, TimePoint now, Commands &commands);
+    void rowRead(const RequestId &request, const StoreResult &result, TimePoint now, Commands &commands);
+    void bodyRead(const RequestId &request, const StoreResult &result, Commands &commands);
+    void giveUp(const RequestId &request, TimePoint now, Commands &commands);
+    void insertEnded(const InsertResult &result, TimePoint now, Commands &commands);
+    void replay(ClaimCall &call, Commands &commands);
+    void wait(ClaimCall &call, TimePoint timeout);
+
+    /** Ends of a call; each erases it, but for claimable, after which it may be claimed. */
+    void claimable(ClaimCall &call, const TableCondition &condition, TimePoint now, Commands &commands);
+    void answered(const ClaimCall &call, const RecordedAnswer &answer, Commands &commands);
+    void running(const ClaimCall &call, Commands &commands);
+    void unknown(const ClaimCall &call, bool mayBeSettledLater, Commands &commands);
+    void unavailable(const ClaimCall &call, Outcome outcome, Commands &commands);
+    void refuseOtherBody(const ClaimCall &call, Commands &commands);
+    void refuse(const ClaimCall &call, Error error, Outcome outcome, Commands &commands);
+    void endWithStatus(const ClaimCall &call, ClaimStatus status);
+    void log(const ClaimCall &call, std::string_view result, Commands &commands) const;
+    ClaimRow rowFor(const ClaimCall &call) const;
+
+    NodeName self_;
+    Incarnation incarnation_;
+    OperationCounter &operations_;
+    ClaimWriter &writer_;
+    Table<RequestId, ClaimCall> calls_;
+    Table<OperationId, RequestId> reads_;
+    /** Calls in the stage Querying. */
+    std::set<RequestId> querying_;
+    std::multimap<TimePoint, RequestId> timeouts_;
+    std::vector<ClaimNotice> notices_;
+    std::vector<ClaimStatus> statuses_;
+};
+
+} // namespace GeraniumLever
