--- /dev/null
+++ b/tests/platform/http/raw_connection.cpp
@@ -0,0 +1,62 @@
+#include "tests/platform/http/raw_connection.h"
+
+#include <utility>
+
+#include <boost/asio/write.hpp>
+
+namespace GeraniumLever {
+
+RawConnection::RawConnection(boost::asio::ip::tcp::socket socket) : socket_(std::move(socket)) { }
+
+std::shared_ptr<RawConnection> RawConnection::open(boost::asio::io_context &context, std::uint16_t port)
+{
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect(boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(), port));
+    const std::shared_ptr<RawConnection> connection = std::make_shared<RawConnection>(std::move(socket));
+    connection->startReading();
+    return connection;
+}
+
+void RawConnection::startReading()
+{
+    paused_ = false;
+    if (!reading_) {
+        read();
+    }
+}
+
+void RawConnection::send(const std::string &bytes)
+{
+    boost::system::error_code ignored;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+}
+
+void RawConnection::close()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    socket_.close(ignored);
+}
+
+void RawConnection::reset()
+{
+    boost::system::error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+}
+
+void RawConnection::read()
+{
+    reading_ = true;
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                self->reading_ = false;
+                                self->received_.append(self->chunk_.data(), bytes);
+                                self->ended_ = static_cast<bool>(error);
+                                if (!error && !self->paused_) {
+                                    self->read();
+                                }
+                            });
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/platform/http/raw_listener.cpp
@@ -0,0 +1,37 @@
+#include "tests/platform/http/raw_listener.h"
+
+#include <utility>
+
+namespace GeraniumLever {
+
+namespace {
+
+const boost::asio::ip::tcp::endpoint anyLoopbackPort(boost::asio::ip::address_v4::loopback(), 0);
+
+} // namespace
+
+RawListener::RawListener(boost::asio::io_context &context)
+    : acceptor_(context, anyLoopbackPort), port_(acceptor_.local_endpoint().port())
+{
+    accept();
+}
+
+void RawListener::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+        if (error) {
+            return;
+        }
+        connections_.push_back(std::make_shared<RawConnection>(std::move(socket)));
+        connections_.back()->startReading();
+        accept();
+    });
+}
+
+std::uint16_t unusedPort(boost::asio::io_context &context)
+{
+    boost::asio::ip::tcp::acceptor probe(context, anyLoopbackPort);
+    return probe.local_endpoint().port();
+}
+
+} // namespace GeraniumLever
