--- /dev/null
+++ b/tests/platform/mesh/message_samples.h
@@ -0,0 +1,12 @@
+/** One message of each kind, with every field set. */
+#pragma once
+
+#include <vector>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+std::vector<PeerMessage> messageSamples();
+
+} // namespace GeraniumLever
