Add the ingress state machine and the node's wiring

Cause: a request needs one owner from arrival to final answer, apart from sockets, so that every failure can be replayed with a stepped clock. Weighed: claim before the seat (one write for each shed call, refused) against a look-up (read) first and the claim right before dispatch (chosen). All completions are streamed from the engine, also for callers that want one body, so that any of them can be resumed.

--- a/cmake/GeraniumPackage.cmake
+++ b/cmake/GeraniumPackage.cmake
@@ -1,6 +1,8 @@
 # Warnings and sanitizers shared by every target of the workspace.
 add_library(geranium_options INTERFACE)
 target_compile_options(geranium_options INTERFACE -Wall -Wextra -Wpedantic -Werror)
+# GCC 12 reports overlapping copies inside std::string operations that cannot occur.
+target_compile_options(geranium_options INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
 target_include_directories(geranium_options INTERFACE ${CMAKE_SOURCE_DIR})
 if(GERANIUM_SANITIZE)
     target_compile_options(geranium_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
--- a/core/commands.h
+++ b/core/commands.h
@@ -161,6 +161,24 @@
     auto operator<=>(const Decision &) const = default;
 };
 
+/** Final figures of one request, for metrics. */
+struct RequestMeasured
+{
+    ClassName requestClass;
+    Outcome outcome = Outcome::NotRun;
+    ResultCode code = ResultCode::Ok;
+    /** From arrival to the first token or byte of the answer; absent if none arrived. */
+    std::optional<Duration> firstToken;
+    /** From arrival to the end. */
+    Duration total { 0 };
+    std::uint32_t tokens = 0;
+    /** Tokens that were generated and that nobody can use. */
+    std::uint32_t wastedTokens = 0;
+    std::uint32_t attempts = 0;
+
+    auto operator<=>(const RequestMeasured &) const = default;
+};
+
 /** The node may exit: nothing is in flight, or the stop limit has passed. */
 struct StopCompleted
 {
@@ -184,6 +202,7 @@
                              TicketVerdict,
                              EngineOrder,
                              Decision,
+                             RequestMeasured,
                              StopCompleted>;
 
 /** Commands in the order in which they must be carried out. */
--- a/core/events.h
+++ b/core/events.h
@@ -78,6 +78,11 @@
     std::string echoedAttempt;
     /** True if the upstream announced in a header that it is leaving. */
     bool leaving = false;
+    /** Values of Geranium-Outcome, Retry-After and Geranium-Replayed, which the node that a request was forwarded to
+     *  sends; empty and false for other upstreams. */
+    std::string outcome;
+    std::optional<Duration> retryAfter;
+    bool replayed = false;
 
     auto operator<=>(const UpstreamHead &) const = default;
 };
--- /dev/null
+++ b/main/node/decision_log.cpp
@@ -0,0 +1,44 @@
+#include "main/node/decision_log.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+namespace GeraniumLever {
+
+namespace {
+
+constexpr std::size_t KeptLines = 2000;
+
+} // namespace
+
+void DecisionLog::record(const Decision &decision)
+{
+    std::string line = formatDecision(decision);
+    LOG(INFO) << line;
+    ++counts_[decision.kind];
+    lines_.push_back(std::move(line));
+    if (lines_.size() > KeptLines) {
+        lines_.pop_front();
+    }
+}
+
+std::vector<std::string> DecisionLog::last(std::size_t count) const
+{
+    const std::size_t taken = std::min(count, lines_.size());
+    return std::vector<std::string>(lines_.end() - static_cast<std::ptrdiff_t>(taken), lines_.end());
+}
+
+std::string formatDecision(const Decision &decision)
+{
+    std::string line = "decision=" + decision.kind;
+    for (const auto &[name, value] : decision.fields) {
+        line += ' ';
+        line += name;
+        line += '=';
+        line += value;
+    }
+    return line;
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/main/node/decision_log.h
@@ -0,0 +1,33 @@
+/** The log line of each routing or placement decision, and the last ones kept for operators. */
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+/** One line a decision: "decision=KIND key=value ...", to glog at INFO level. */
+class DecisionLog
+{
+public:
+    void record(const Decision &decision);
+
+    /** At most the given number of lines, oldest first. */
+    std::vector<std::string> last(std::size_t count) const;
+
+    /** Decisions so far by kind. */
+    const std::map<std::string, std::uint64_t> &counts() const { return counts_; }
+
+private:
+    std::deque<std::string> lines_;
+    std::map<std::string, std::uint64_t> counts_;
+};
+
+/** The line without a trailing newline. */
+std::string formatDecision(const Decision &decision);
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/main/node/entry_node.cpp
@@ -0,0 +1,269 @@
+#include "main/node/entry_node.h"
+
+#include <deque>
+#include <random>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "main/node/admin_handler.h"
+#include "main/node/decision_log.h"
+#include "main/node/node_logic.h"
+#include "platform/http/http.h"
+#include "platform/mesh/mesh.h"
+#include "platform/store/store.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod(5);
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+NodeIdentity identityOf(const Settings &settings)
+{
+    NodeIdentity identity;
+    identity.address = { settings.node, settings.dataCenter, settings.meshAddress, settings.callerAddress };
+    identity.incarnation = Incarnation(randomNumber() | 1);
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.node != settings.node) {
+            identity.seeds.push_back({ peer.node, peer.dataCenter, peer.meshAddress, peer.callerAddress });
+        }
+    }
+    identity.meshKey = settings.meshKey;
+    identity.seed = settings.seed != 0 ? settings.seed : randomNumber();
+    identity.stopLimit = settings.stopLimit;
+    return identity;
+}
+
+CallerServerSettings callerSettingsOf(const Settings &settings)
+{
+    CallerServerSettings result;
+    result.listenAddress = settings.callerAddress;
+    result.maxHeaderBytes = settings.maxHeaderBytes;
+    result.maxBodyBytes = settings.maxBodyBytes;
+    result.maxConnections = settings.maxConnections;
+    result.requestTimeout = settings.requestTimeout;
+    result.meshKey = settings.meshKey;
+    return result;
+}
+
+OperatorServerSettings operatorSettingsOf(const Settings &settings)
+{
+    OperatorServerSettings result;
+    result.listenAddress = settings.operatorAddress;
+    result.keyHashes = settings.operatorKeyHashes;
+    return result;
+}
+
+StoreSettings storeSettingsOf(const Settings &settings)
+{
+    StoreSettings result;
+    result.tableAddress = settings.tableAddress;
+    result.objectAddress = settings.objectAddress;
+    result.vmListAddress = settings.vmListAddress;
+    result.timeout = settings.storeTimeout;
+    return result;
+}
+
+} // namespace
+
+struct EntryNode::State
+{
+    State(Settings settings, boost::asio::io_context &context, std::function<void()> stopped)
+        : identity(identityOf(settings))
+        , stopped(std::move(stopped))
+        , logic(identity)
+        , callers(callerSettingsOf(settings), originHash(settings.node, identity.incarnation), context, sink())
+        , upstreams(UpstreamClientSettings {}, context, sink())
+        , store(storeSettingsOf(settings), context, sink())
+        , mesh(MeshSettings { settings.node, identity.incarnation, settings.meshAddress, settings.meshKey },
+               context,
+               sink())
+        , admin(
+              logic,
+              decisions,
+              sink(),
+              [this](const RequestId &request, const TeamName &team, const std::string &key) {
+                  ask(request, team, key);
+              },
+              [this]() { return metricsText(); })
+        , operators(operatorSettingsOf(settings),
+                    context,
+                    [this](const OperatorRequest &request, OperatorServer::Responder respond) {
+                        admin.handle(request, std::move(respond));
+                    })
+        , timer(context)
+    {
+    }
+
+    std::function<void(Event)> sink()
+    {
+        return [this](Event event) { take(std::move(event)); };
+    }
+
+    /** Adapters may report while they carry out a command; such events wait until the command is done. */
+    void take(Event event)
+    {
+        events.push_back(std::move(event));
+        if (busy) {
+            return;
+        }
+        busy = true;
+        while (!events.empty()) {
+            const Event next = std::move(events.front());
+            events.pop_front();
+            Commands commands;
+            logic.handle(next, clock.now(), commands);
+            carryOut(commands);
+        }
+        busy = false;
+    }
+
+    void ask(const RequestId &request, const TeamName &team, const std::string &key)
+    {
+        Commands commands;
+        logic.askStatus(request, team, key, clock.now(), commands);
+        carryOut(commands);
+    }
+
+    void tick()
+    {
+        Commands commands;
+        busy = true;
+        logic.tick(clock.now(), commands);
+        carryOut(commands);
+        busy = false;
+        refreshConnections();
+        if (!events.empty()) {
+            Event next = std::move(events.front());
+            events.pop_front();
+            take(std::move(next));
+        }
+        timer.expires_after(TickPeriod);
+        timer.async_wait([this](const boost::system::error_code &failure) {
+            if (!failure) {
+                tick();
+            }
+        });
+    }
+
+    void carryOut(Commands &commands)
+    {
+        for (Command &command : commands) {
+            std::visit([this](auto &value) { run(value); }, command);
+        }
+        for (const ClaimStatus &status : logic.takeOperatorStatuses()) {
+            admin.statusFound(status);
+        }
+    }
+
+    /** Follows the logic's view of peers and of upstreams to watch. */
+    void refreshConnections()
+    {
+        std::vector<MeshPeer> wantedPeers;
+        for (const NodeAddress &peer : logic.membership().knownPeers()) {
+            wantedPeers.push_back({ peer.node, peer.meshAddress });
+        }
+        if (wantedPeers != peers) {
+            peers = wantedPeers;
+            mesh.setPeers(std::move(wantedPeers));
+        }
+        std::vector<WatchedUpstream> wantedWatches;
+        const Catalog &catalog = *logic.tickets().catalog();
+        for (const UpstreamName &name : logic.watchedUpstreams()) {
+            const Upstream *upstream = catalog.upstreams().find(name);
+            if (upstream != nullptr) {
+                wantedWatches.push_back({ name, upstream->address });
+            }
+        }
+        if (wantedWatches != watches) {
+            watches = wantedWatches;
+            upstreams.watch(std::move(wantedWatches));
+        }
+    }
+
+    void run(const ReplyHead &command) { callers.reply(command); }
+    void run(const ReplyData &command) { callers.reply(command); }
+    void run(const ReplyEnd &command) { callers.reply(command); }
+    void run(const ReplyError &command) { callers.reply(command); }
+    void run(const UpstreamDispatch &command) { upstreams.dispatch(command); }
+    void run(const UpstreamCancel &command) { upstreams.cancel(command); }
+    void run(const UpstreamReading &command) { upstreams.setReading(command); }
+    void run(const UpstreamProbe &command) { upstreams.probe(command); }
+    void run(const PeerSend &command) { mesh.send(command.to, command.message); }
+    void run(const TableTransaction &command) { store.run(command); }
+    void run(const TableGet &command) { store.run(command); }
+    void run(const TableScan &command) { store.run(command); }
+    void run(const ObjectPut &command) { store.run(command); }
+    void run(const ObjectGet &command) { store.run(command); }
+    void run(const TicketVerdict &command) { admin.ticketDecided(command); }
+    void run(const EngineOrder &command) { upstreams.order(command); }
+    void run(const Decision &command) { decisions.record(command); }
+    void run(const RequestMeasured &) { }
+
+    void run(const StopCompleted &)
+    {
+        timer.cancel();
+        stopped();
+    }
+
+    std::string metricsText() const
+    {
+        std::string text = "# TYPE geranium_decisions_total counter\n";
+        for (const auto &[kind, count] : decisions.counts()) {
+            text += "geranium_decisions_total{kind=\"" + kind + "\"} " + std::to_string(count) + "\n";
+        }
+        return text;
+    }
+
+    NodeIdentity identity;
+    std::function<void()> stopped;
+    SteadyClock clock;
+    NodeLogic logic;
+    DecisionLog decisions;
+    CallerServer callers;
+    UpstreamClient upstreams;
+    StoreClient store;
+    Mesh mesh;
+    AdminHandler admin;
+    OperatorServer operators;
+    boost::asio::steady_timer timer;
+    std::deque<Event> events;
+    bool busy = false;
+    std::vector<MeshPeer> peers;
+    std::vector<WatchedUpstream> watches;
+};
+
+EntryNode::EntryNode(Settings settings, boost::asio::io_context &context, std::function<void()> stopped)
+    : state_(std::make_unique<State>(std::move(settings), context, std::move(stopped)))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+Result<Success> EntryNode::start()
+{
+    for (const Result<Success> &started :
+         { state_->mesh.start(), state_->operators.start(), state_->callers.start() }) {
+        if (!succeeded(started)) {
+            return started;
+        }
+    }
+    state_->store.start();
+    state_->tick();
+    return Success {};
+}
+
+void EntryNode::stop()
+{
+    state_->callers.drain();
+    state_->take(StopRequested {});
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/ingress/ingress.h
@@ -0,0 +1,7 @@
+/**
+ * Public header of the ingress package: the way of each caller's request through one node, from its arrival to its
+ * final answer. I/O-free.
+ */
+#pragma once
+
+#include "servers/ingress/ingress_system.h"
