--- a/servers/ingress/request_reports.cpp
+++ b/servers/ingress/request_reports.cpp
@@ -33,6 +33,7 @@
     addField(decision, "code", std::string(resultCodeName(code)));
     addField(decision, "attempts", std::to_string(row.attempts));
     addField(decision, "tokens", std::to_string(row.answer.tokens()));
+    addField(decision, "first_token_ms", row.firstToken ? std::to_string(toMilliseconds(*row.firstToken)) : "-");
     addField(decision, "total_ms", std::to_string(toMilliseconds(now - row.arrivedAt)));
     return decision;
 }
