--- a/servers/membership/membership_system.h
+++ b/servers/membership/membership_system.h
@@ -1,7 +1,9 @@
 /** Heartbeats and the view of the other nodes. */
 #pragma once
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -72,7 +74,8 @@
     /** True once after each change of any data centre's live nodes. */
     bool takeChanged();
 
-    /** All known addresses but the own, for the mesh to connect to. */
+    /** Addresses for the mesh to connect to: all known ones, or, in a fleet of more than FullMeshNodes, those of the
+     * own data centre and of the gateways of the others. */
     std::vector<NodeAddress> knownPeers() const;
 
     const Table<NodeName, Peer> &peers() const;
@@ -92,17 +95,61 @@
     /** The delegates of a data centre as far as known. */
     std::vector<NodeName> delegatesOf(const DataCenterName &dataCenter) const;
 
+    /** The nodes to which a delegate sends new tickets: the live ones of its own data centre, and one node that is
+     * heard of each other data centre. */
+    std::vector<NodeName> pushTargets() const;
+
     const NodeAddress &self() const;
 
 private:
+    using NodesByDataCenter = std::map<DataCenterName, std::vector<NodeName>>;
+
+    /** Rotation through the nodes of another data centre while none of them is heard. */
+    struct Search
+    {
+        std::size_t offset = 0;
+        TimePoint next;
+    };
+
+    bool fullMesh() const;
+    /** How long a peer may stay silent before it counts as gone. */
+    Duration silenceLimit(const Peer &peer) const;
+    void addCandidate(const NodeAddress &address, TimePoint now);
+    void setSelfState(NodeState state);
+    void markLost(const NodeName &name, Peer &peer);
+    void expirePeers(TimePoint now);
+    bool heartbeatDue(const SelfDescription &self, TimePoint now) const;
+    void sendHeartbeats(const SelfDescription &self, TimePoint now, Commands &commands);
+    std::vector<NodeName> heartbeatTargets(TimePoint now);
+    std::vector<NodeName> remoteTargets(const DataCenterName &dataCenter,
+                                        const NodesByDataCenter &alive,
+                                        TimePoint now);
+    /** The next nodes to try of a data centre of which nobody is heard. */
+    std::vector<NodeName> searchTargets(const DataCenterName &dataCenter, TimePoint now);
+    /** This node and the live peers. */
+    NodesByDataCenter aliveNodes() const;
+    /** Position of this node among the gateways to the data centre; GatewaysPerDataCenter or more if it is none. */
+    std::size_t gatewayRank(const DataCenterName &dataCenter, const NodesByDataCenter &alive) const;
+    std::vector<DataCenterName> otherDataCenters() const;
+    void relayRemoteHeartbeats(TimePoint now, Commands &commands);
+
     NodeAddress self_;
     Incarnation incarnation_;
     NodeState selfState_ = NodeState::Starting;
     Table<NodeName, Peer> peers_;
+    /** Nodes that the settings or the last VM list name; they are never forgotten. */
+    std::set<NodeName> seeds_;
+    std::set<NodeName> listed_;
+    Table<DataCenterName, Search> searches_;
+    std::vector<NodeName> remoteTargets_;
     std::vector<NodeName> lost_;
     bool changed_ = false;
     std::uint64_t sequence_ = 0;
+    TicketNumber announcedHead_;
+    NodeState announcedState_ = NodeState::Starting;
     TimePoint nextHeartbeat_;
+    TimePoint nextRelay_;
+    TimePoint nextExpiry_;
 };
 
 } // namespace GeraniumLever
--- a/servers/tickets/ticket.h
+++ b/servers/tickets/ticket.h
@@ -30,6 +30,10 @@
 /** The same text for equal tickets. */
 std::string canonicalText(const Ticket &ticket);
 
+/** One line for each entity that the ticket would add (+) or remove (-), and for each field that it would change (~).
+ */
+std::vector<std::string> differences(const Ticket &ticket, const Catalog &catalog);
+
 /** One ticket that creates every entity of the catalog, for snapshots. */
 Ticket ticketOfCatalog(const Catalog &catalog);
 
--- a/servers/tickets/ticket_system.h
+++ b/servers/tickets/ticket_system.h
@@ -21,6 +21,20 @@
     auto operator<=>(const TicketStanding &) const = default;
 };
 
+/** What a node has met while following the chain. */
+struct TicketCounters
+{
+    std::uint64_t applied = 0;
+    std::uint64_t snapshots = 0;
+    std::uint64_t gaps = 0;
+    std::uint64_t forks = 0;
+    std::uint64_t epochMismatches = 0;
+    std::uint64_t digestMismatches = 0;
+    std::uint64_t repairs = 0;
+
+    auto operator<=>(const TicketCounters &) const = default;
+};
+
 /** Keeps the chain of tickets and the catalog that they add up to. */
 class TicketSystem
 {
@@ -54,6 +68,8 @@
     /** An accepted ticket that this node still holds. */
     std::optional<TicketRecord> record(TicketNumber number) const;
 
+    TicketCounters counters() const;
+
 private:
     struct State;
     std::unique_ptr<State> state_;
