--- a/development/standins/http_server.cpp
+++ b/development/standins/http_server.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-boost::asio::ip::tcp::endpoint parseEndpoint(const std::string &address)
+boost::asio::ip::tcp::endpoint standInEndpoint(const std::string &address)
 {
     std::size_t colon = address.rfind(':');
     if (colon == std::string::npos) {
@@ -31,7 +31,7 @@
 }
 
 HttpServer::HttpServer(boost::asio::io_context &context, const std::string &address, Handler handler)
-    : context_(context), acceptor_(context, parseEndpoint(address)), handler_(std::move(handler))
+    : context_(context), acceptor_(context, standInEndpoint(address)), handler_(std::move(handler))
 {
     address_ =
         acceptor_.local_endpoint().address().to_string() + ":" + std::to_string(acceptor_.local_endpoint().port());
--- a/development/standins/http_server.h
+++ b/development/standins/http_server.h
@@ -16,7 +16,7 @@
 namespace GeraniumLever {
 
 /** "a.b.c.d:port" as an endpoint; throws boost::system::system_error if it is malformed. */
-boost::asio::ip::tcp::endpoint parseEndpoint(const std::string &address);
+boost::asio::ip::tcp::endpoint standInEndpoint(const std::string &address);
 
 class HttpServer
 {
--- a/tests/development/standins/stand_in_server_test.cpp
+++ b/tests/development/standins/stand_in_server_test.cpp
@@ -20,7 +20,10 @@
 class BlockingClient
 {
 public:
-    explicit BlockingClient(const std::string &address) : socket_(context_) { socket_.connect(parseEndpoint(address)); }
+    explicit BlockingClient(const std::string &address) : socket_(context_)
+    {
+        socket_.connect(standInEndpoint(address));
+    }
 
     void send(Http::verb method, const std::string &target, const std::string &body)
     {
