--- a/tests/platform/http/raw_connection.cpp
+++ b/tests/platform/http/raw_connection.cpp
@@ -6,7 +6,10 @@
 
 namespace GeraniumLever {
 
-RawConnection::RawConnection(boost::asio::ip::tcp::socket socket) : socket_(std::move(socket)) { }
+RawConnection::RawConnection(boost::asio::ip::tcp::socket socket) : socket_(std::move(socket))
+{
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true));
+}
 
 std::shared_ptr<RawConnection> RawConnection::open(boost::asio::io_context &context, std::uint16_t port)
 {
