Add the scheduler's decisions under load and faults

Guaranteed grants per class, early refusal of unreachable deadlines, pausing of lower tiers, choice of upstream by expected first token, prefix table, measured speeds with ejection and probes, retry budget, failure backoff.

The sanitizer build found that refuse() and the removal of a running attempt read an identifier inside the element that they had just erased; identifiers are passed by value now.

The review of the queue runs every 100 ms, but the refusal at the deadline runs every tick: a test showed it late otherwise.

--- /dev/null
+++ b/servers/scheduling/class_estimates.h
@@ -0,0 +1,45 @@
+/** What a shard has measured of each class: seat time, arrivals and grants. */
+#pragma once
+
+#include <optional>
+
+#include "servers/scheduling/moving_average.h"
+#include "servers/scheduling/rate_meter.h"
+
+namespace GeraniumLever {
+
+class ClassEstimates
+{
+public:
+    void noteArrival(const ClassName &requestClass, TimePoint now);
+    void noteGrant(const ClassName &requestClass, TimePoint now);
+
+    /** A seat was held for the given time. */
+    void noteSeatTime(const ClassName &requestClass, Duration held);
+
+    /** Mean seat time in seconds, of the class or else of all; nothing as long as none has been measured. */
+    std::optional<double> seatSeconds(const ClassName &requestClass) const;
+
+    /** Requests per second. */
+    double arrivalRate(const ClassName &requestClass, TimePoint now) const;
+
+    /** Grants per second. */
+    double grantRate(const ClassName &requestClass, TimePoint now) const;
+
+private:
+    struct Measured
+    {
+        RateMeter arrivals;
+        RateMeter grants;
+        /** Seconds. */
+        MovingAverage seatTime { 0.02 };
+    };
+
+    Measured &rowOf(const ClassName &requestClass);
+
+    Table<ClassName, Measured> classes_;
+    /** Seconds, over all classes. */
+    MovingAverage seatTime_ { 0.02 };
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/grant_system.cpp
@@ -0,0 +1,132 @@
+#include "servers/scheduling/grant_system.h"
+
+#include <algorithm>
+
+#include "servers/scheduling/answers.h"
+#include "servers/scheduling/seats.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Requests of a class that are tried when the first one's upstreams are all taken. */
+constexpr std::size_t MaxCandidates = 8;
+
+struct Placement
+{
+    RequestId request;
+    UpstreamChoice choice;
+    std::string_view reason;
+};
+
+/** The first request of the class that an upstream can take. */
+std::optional<Placement> placeFirst(const ShardState &state,
+                                    const ClassRank &rank,
+                                    std::string_view reason,
+                                    TimePoint now)
+{
+    for (const RequestId &candidate : state.queue.candidates(rank, MaxCandidates)) {
+        const SlotRequest &request = state.queue.find(candidate)->request;
+        if (const std::optional<UpstreamChoice> choice = chooseUpstream(state, request, now); choice) {
+            return Placement { candidate, *choice, reason };
+        }
+    }
+    return std::nullopt;
+}
+
+/** Attempts of the class that run on guaranteed seats. */
+std::uint32_t guaranteedRunning(const ShardState &state, const ClassName &requestClass)
+{
+    std::uint32_t count = 0;
+    for (const auto &[id, attempt] : state.running.attempts()) {
+        count += attempt.guaranteed && attempt.requestClass == requestClass ? 1 : 0;
+    }
+    return count;
+}
+
+/** The guarantee is a share of the grants, and also of the seats: at least one, since long answers hold theirs long. */
+bool mayUseGuarantee(const ShardState &state, const RequestClass &requestClass)
+{
+    if (!state.guarantees.due(requestClass.name)) {
+        return false;
+    }
+    const std::uint32_t seats = seatsOfShard(state) * requestClass.guaranteedPerMille / 1000;
+    return guaranteedRunning(state, requestClass.name) < std::max<std::uint32_t>(1, seats);
+}
+
+/** Seats that were freed by pausing belong to the tier for which the pause was made. */
+std::optional<Placement> placeGuaranteed(const ShardState &state, const std::vector<ClassRank> &ranks, TimePoint now)
+{
+    if (freeSeatsOfShard(state, now) <= state.pausedSeats) {
+        return std::nullopt;
+    }
+    for (const ClassRank &rank : ranks) {
+        const RequestClass *requestClass = state.classOf(rank.name);
+        if (requestClass == nullptr || !mayUseGuarantee(state, *requestClass)) {
+            continue;
+        }
+        if (std::optional<Placement> placement = placeFirst(state, rank, GuaranteeReason, now); placement) {
+            return placement;
+        }
+    }
+    return std::nullopt;
+}
+
+/** When the class's oldest request misses its target for the first token. */
+TimePoint targetTimeOf(const ShardState &state, const ClassRank &rank)
+{
+    const RequestClass *requestClass = state.classOf(rank.name);
+    const Duration target = requestClass == nullptr ? Duration(0) : requestClass->firstTokenTarget;
+    return state.queue.oldestOf(rank)->arrived + target;
+}
+
+/** Classes in the order of service: by tier, within a tier the one whose target is next. */
+std::vector<ClassRank> orderOfService(const ShardState &state)
+{
+    std::vector<ClassRank> ranks = state.queue.ranks();
+    std::stable_sort(ranks.begin(), ranks.end(), [&state](const ClassRank &first, const ClassRank &second) {
+        if (first.tier != second.tier) {
+            return first.tier < second.tier;
+        }
+        return targetTimeOf(state, first) < targetTimeOf(state, second);
+    });
+    return ranks;
+}
+
+std::optional<Placement> placeByTier(const ShardState &state, const std::vector<ClassRank> &ranks, TimePoint now)
+{
+    for (const ClassRank &rank : ranks) {
+        if (std::optional<Placement> placement = placeFirst(state, rank, TierOrderReason, now); placement) {
+            return placement;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+void grantSeats(ShardState &state, TimePoint now, Commands &commands)
+{
+    while (!state.queue.empty()) {
+        const std::uint32_t free = freeSeatsOfShard(state, now);
+        state.pausedSeats = std::min(state.pausedSeats, free);
+        if (free == 0) {
+            return;
+        }
+        const std::vector<ClassRank> ranks = orderOfService(state);
+        std::optional<Placement> placement = placeGuaranteed(state, ranks, now);
+        if (!placement) {
+            placement = placeByTier(state, ranks, now);
+        }
+        if (!placement) {
+            return;
+        }
+        if (placement->reason == TierOrderReason && state.pausedSeats > 0) {
+            --state.pausedSeats;
+        }
+        grant(state, placement->request, placement->choice, placement->reason, now, commands);
+    }
+    state.pausedSeats = 0;
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/moving_average.h
@@ -0,0 +1,35 @@
+/** Exponentially weighted moving average with a number of samples. */
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace GeraniumLever {
+
+class MovingAverage
+{
+public:
+    /** share: weight of one new sample, in (0, 1]. */
+    explicit MovingAverage(double share) : share_(share) { }
+
+    /** The first samples weigh equally, so that the first one does not dominate. */
+    void add(double sample)
+    {
+        ++samples_;
+        const double weight = std::max(share_, 1.0 / static_cast<double>(samples_));
+        value_ += weight * (sample - value_);
+    }
+
+    /** 0 as long as there are no samples. */
+    double value() const { return value_; }
+    std::uint64_t samples() const { return samples_; }
+
+    bool operator==(const MovingAverage &) const = default;
+
+private:
+    double share_;
+    double value_ = 0.0;
+    std::uint64_t samples_ = 0;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/peak_window.h
@@ -0,0 +1,35 @@
+/** The largest value of a count over the last seconds. */
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+class PeakWindow
+{
+public:
+    void note(std::uint32_t value, TimePoint now);
+
+    /** The largest value noted in the last WindowSeconds seconds. */
+    std::uint32_t peak(TimePoint now) const;
+
+    bool operator==(const PeakWindow &) const = default;
+
+private:
+    static constexpr std::size_t WindowSeconds = 10;
+
+    struct Second
+    {
+        std::int64_t number = -1;
+        std::uint32_t largest = 0;
+
+        bool operator==(const Second &) const = default;
+    };
+
+    std::array<Second, WindowSeconds> seconds_ {};
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/retry_budget.cpp
@@ -0,0 +1,35 @@
+#include "servers/scheduling/retry_budget.h"
+
+#include <algorithm>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Retries earned by one request. */
+constexpr double RetriesPerRequest = 0.1;
+
+} // namespace
+
+void RetryBudget::setBurst(std::uint32_t burst)
+{
+    // A budget that grows, at first from nothing, starts with the added burst.
+    balance_ = std::clamp(balance_ + burst - burst_, 0.0, static_cast<double>(burst));
+    burst_ = burst;
+}
+
+void RetryBudget::noteRequest()
+{
+    balance_ = std::min(balance_ + RetriesPerRequest, burst_);
+}
+
+bool RetryBudget::spend()
+{
+    if (balance_ < 1.0) {
+        return false;
+    }
+    balance_ -= 1.0;
+    return true;
+}
+
+} // namespace GeraniumLever
--- a/servers/scheduling/running_table.cpp
+++ b/servers/scheduling/running_table.cpp
@@ -11,7 +11,7 @@
     attempts_.put(id, std::move(attempt));
 }
 
-std::optional<RunningAttempt> RunningTable::remove(const AttemptId &attempt)
+std::optional<RunningAttempt> RunningTable::remove(AttemptId attempt)
 {
     const RunningAttempt *found = attempts_.find(attempt);
     if (found == nullptr) {
@@ -29,7 +29,7 @@
     return removed;
 }
 
-const RunningAttempt *RunningTable::findByRequest(const RequestId &request) const
+const RunningAttempt *RunningTable::findByRequest(RequestId request) const
 {
     const std::unordered_map<RequestId, AttemptId>::const_iterator found = byRequest_.find(request);
     return found == byRequest_.end() ? nullptr : attempts_.find(found->second);
--- a/servers/scheduling/running_table.h
+++ b/servers/scheduling/running_table.h
@@ -14,13 +14,13 @@
     void add(RunningAttempt attempt);
 
     /** The removed attempt, or nothing if it is not there. */
-    std::optional<RunningAttempt> remove(const AttemptId &attempt);
+    std::optional<RunningAttempt> remove(AttemptId attempt);
 
-    const RunningAttempt *find(const AttemptId &attempt) const { return attempts_.find(attempt); }
-    RunningAttempt *edit(const AttemptId &attempt) { return attempts_.edit(attempt); }
+    const RunningAttempt *find(AttemptId attempt) const { return attempts_.find(attempt); }
+    RunningAttempt *edit(AttemptId attempt) { return attempts_.edit(attempt); }
 
     /** The attempt of a request, or nullptr. */
-    const RunningAttempt *findByRequest(const RequestId &request) const;
+    const RunningAttempt *findByRequest(RequestId request) const;
 
     /** Number of attempts at an upstream. */
     std::uint32_t countAt(const UpstreamName &upstream) const;
--- a/servers/scheduling/scheduling_system.cpp
+++ b/servers/scheduling/scheduling_system.cpp
@@ -150,10 +150,18 @@
     if (found == state_->shardByUpstream.end()) {
         return;
     }
+    if (report.leaving) {
+        state_->leaving.insert(report.upstream);
+    }
     state_->ensure(found->second)->loadReported(report, now);
 }
 
-void SchedulingSystem::cacheChanged(const CacheEvent &, TimePoint) { }
+void SchedulingSystem::cacheChanged(const CacheEvent &event, TimePoint)
+{
+    if (ShardScheduler *scheduler = state_->findByUpstream(event.upstream); scheduler != nullptr) {
+        scheduler->cacheChanged(event);
+    }
+}
 
 void SchedulingSystem::upstreamLeaving(const UpstreamName &upstream, bool leaving, TimePoint)
 {
@@ -208,13 +216,13 @@
     }
 }
 
-std::vector<PoolSummary> SchedulingSystem::summaries(TimePoint) const
+std::vector<PoolSummary> SchedulingSystem::summaries(TimePoint now) const
 {
     std::map<PoolName, PoolSummary> pools;
     for (const auto &[shard, scheduler] : state_->shards) {
         PoolSummary &summary = pools[shard.pool];
         summary.pool = shard.pool;
-        scheduler->addTo(summary);
+        scheduler->addTo(summary, now);
     }
     std::vector<PoolSummary> summaries;
     summaries.reserve(pools.size());
--- /dev/null
+++ b/servers/scheduling/seats.h
@@ -0,0 +1,29 @@
+/** Rules on how many attempts an upstream may hold, and whether it may get another one now. */
+#pragma once
+
+#include "servers/scheduling/shard_state.h"
+
+namespace GeraniumLever {
+
+/** Seats of an upstream that this node may use: fewer if it only has a share of them, or if the upstream is slow. */
+std::uint32_t usableSeats(const ShardState &state, const UpstreamState &upstream);
+
+/** Usable seats that are not taken, whether or not the upstream may get new attempts. */
+std::uint32_t freeSeats(const ShardState &state, const UpstreamState &upstream, TimePoint now);
+
+/** True if the upstream may get a new attempt now. */
+bool hasFreeSeat(const ShardState &state, const UpstreamState &upstream, TimePoint now);
+
+/** Free seats of all upstreams that may get a new attempt now. */
+std::uint32_t freeSeatsOfShard(const ShardState &state, TimePoint now);
+
+/** Usable seats of all upstreams that are open and not ejected. */
+std::uint32_t seatsOfShard(const ShardState &state);
+
+/** True if the request excludes the upstream. */
+bool excludes(const SlotRequest &request, const UpstreamName &upstream);
+
+/** True if any upstream is open to the request, with or without a free seat. */
+bool anyOpenUpstream(const ShardState &state, const SlotRequest &request);
+
+} // namespace GeraniumLever
--- a/servers/scheduling/shard_scheduler.cpp
+++ b/servers/scheduling/shard_scheduler.cpp
@@ -2,120 +2,142 @@
 
 #include <algorithm>
 
-#include "servers/scheduling/decision_record.h"
+#include "servers/scheduling/answers.h"
+#include "servers/scheduling/grant_system.h"
+#include "servers/scheduling/health_system.h"
+#include "servers/scheduling/preemption_system.h"
+#include "servers/scheduling/seats.h"
 #include "servers/scheduling/shard_map.h"
+#include "servers/scheduling/shedding_system.h"
+#include "servers/scheduling/wait_estimate.h"
 
 namespace GeraniumLever {
 
 namespace {
 
-/** Most requests that wait in one shard. */
-constexpr std::size_t MaxWaiting = 10000;
-
-/** Requests of a class that are tried when the first one's upstreams are all taken. */
-constexpr std::size_t MaxCandidates = 8;
-
-/** Retry-After where no drain rate has been measured. */
-constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
-
-/** Spread of Retry-After, so that refused callers do not return together. */
-constexpr double RetryAfterJitter = 0.25;
-
 /** An attempt that nobody has reported for this long is no longer counted. */
 constexpr Duration SilentAttemptLimit = std::chrono::seconds(120);
 
-} // namespace
+/** How often the whole queue, the speeds and the silent attempts are looked over. */
+constexpr Duration ReviewInterval = std::chrono::milliseconds(100);
+
+/** Crashes of this many whole upstreams at once are covered by the retry budget. */
+constexpr std::uint32_t RetryBurstUpstreams = 2;
 
-ShardScheduler::ShardScheduler(ShardKey shard, AttemptIssuer &issuer) : shard_(std::move(shard)), issuer_(issuer) { }
+} // namespace
 
 void ShardScheduler::applyCatalog(const CatalogPtr &catalog)
 {
-    catalog_ = catalog;
+    state_.catalog = catalog;
     Table<UpstreamName, UpstreamState> next;
-    for (const UpstreamName &name : upstreamsOf(*catalog, shard_)) {
-        const UpstreamState *known = upstreams_.find(name);
-        UpstreamState state = known == nullptr ? UpstreamState {} : *known;
+    std::uint32_t largest = 0;
+    for (const UpstreamName &name : upstreamsOf(*catalog, state_.shard)) {
+        const UpstreamState *known = state_.upstreams.find(name);
+        UpstreamState upstream = known == nullptr ? UpstreamState {} : *known;
         const Upstream *row = catalog->upstreams().find(name);
-        state.name = name;
-        state.seats = row->seats;
-        state.leavingByCatalog = row->leaving;
-        next.put(name, state);
+        upstream.name = name;
+        upstream.seats = row->seats;
+        upstream.leavingByCatalog = row->leaving;
+        upstream.inFlight = state_.running.countAt(name);
+        largest = std::max(largest, row->seats);
+        next.put(name, upstream);
     }
-    upstreams_ = std::move(next);
+    state_.upstreams = std::move(next);
+    state_.speeds.keepOnly(state_.upstreams);
+    state_.retries.setBurst(RetryBurstUpstreams * largest);
     queueOutdated_ = true;
 }
 
-void ShardScheduler::slotRequested(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands)
+bool ShardScheduler::answeredByRunning(const NodeName &from,
+                                       const SlotRequest &request,
+                                       TimePoint now,
+                                       Commands &commands)
 {
-    if (const RunningAttempt *running = running_.findByRequest(request.request); running != nullptr) {
-        const bool lost =
-            std::find(request.excluded.begin(), request.excluded.end(), running->upstream) != request.excluded.end();
-        const bool paused = running->pausing && request.resumesPaused;
-        if (!lost && !paused) {
-            repeatGrant(from, *running, commands);
-            return;
-        }
-        running_.remove(running->attempt);
-    }
-    const RequestClass *requestClass = catalog_->classes().find(request.requestClass);
-    if (requestClass == nullptr) {
-        refuseUnqueued(from, request, ResultCode::UnknownClass, Duration(0), commands);
-        return;
-    }
-    if (!anyOpenUpstream(request)) {
-        refuseUnqueued(from, request, ResultCode::NoUpstream, retryAfterFor(request.requestClass), commands);
-        return;
+    const RunningAttempt *running = state_.running.findByRequest(request.request);
+    if (running == nullptr) {
+        return false;
     }
-    if (queue_.find(request.request) == nullptr && !makeRoomFor(requestClass->tier, now, commands)) {
-        refuseUnqueued(from, request, ResultCode::QueueFull, retryAfterFor(request.requestClass), commands);
-        return;
+    const bool over = excludes(request, running->upstream) || (running->pausing && request.resumesPaused);
+    if (over) {
+        state_.removeAttempt(running->attempt, now);
+        return false;
     }
-    queue_.push(WaitingRequest { request, from, now, now + request.timeLeft, ++sequence_, requestClass->tier });
-    schedule(now, commands);
+    commands.push_back(
+        PeerSend { from, SlotGrant { running->request, running->attempt, running->upstream, state_.shard } });
+    return true;
 }
 
-bool ShardScheduler::makeRoomFor(std::uint32_t tier, TimePoint now, Commands &commands)
+bool ShardScheduler::admit(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands)
 {
-    if (queue_.size() < MaxWaiting) {
+    const RequestClass *requestClass = state_.classOf(request.requestClass);
+    if (requestClass == nullptr) {
+        refuseNew(state_, from, request, ResultCode::UnknownClass, now, commands);
+        return false;
+    }
+    if (!anyOpenUpstream(state_, request)) {
+        refuseNew(state_, from, request, ResultCode::NoUpstream, now, commands);
+        return false;
+    }
+    if (state_.queue.find(request.request) != nullptr) {
         return true;
     }
-    const WaitingRequest *newest = queue_.newestOfLowest();
-    if (newest->tier <= tier) {
+    state_.classes.noteArrival(request.requestClass, now);
+    if (request.retry && !state_.retries.spend()) {
+        refuseNew(state_, from, request, ResultCode::Shed, now, commands);
+        return false;
+    }
+    state_.retries.noteRequest();
+    if (!makeRoom(state_, requestClass->tier, now, commands)) {
+        refuseNew(state_, from, request, ResultCode::QueueFull, now, commands);
         return false;
     }
-    refuse(newest->request.request, ResultCode::QueueFull, now, commands);
     return true;
 }
 
+void ShardScheduler::slotRequested(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands)
+{
+    if (answeredByRunning(from, request, now, commands) || !admit(from, request, now, commands)) {
+        return;
+    }
+    const std::uint32_t tier = state_.classOf(request.requestClass)->tier;
+    WaitingRequest waiting;
+    waiting.request = request;
+    waiting.from = from;
+    waiting.arrived = now;
+    waiting.deadline = now + request.timeLeft;
+    waiting.sequence = ++state_.sequence;
+    waiting.tier = tier;
+    waiting.weight = state_.weightOf(request.team);
+    state_.queue.push(std::move(waiting));
+    schedule(now, commands);
+    shedUnreachableOf(state_, ClassRank { tier, request.requestClass }, request.team, now, commands);
+}
+
 void ShardScheduler::slotCancelled(const SlotCancel &cancel, TimePoint now, Commands &commands)
 {
-    if (queue_.erase(cancel.request)) {
+    if (state_.queue.erase(cancel.request)) {
         return;
     }
-    if (const RunningAttempt *running = running_.findByRequest(cancel.request); running != nullptr) {
-        running_.remove(running->attempt);
+    if (const RunningAttempt *running = state_.running.findByRequest(cancel.request); running != nullptr) {
+        state_.removeAttempt(running->attempt, now);
         schedule(now, commands);
     }
 }
 
 void ShardScheduler::attemptProgressed(const AttemptProgress &progress, TimePoint now)
 {
-    RunningAttempt *running = running_.edit(progress.attempt);
-    if (running == nullptr) {
-        return;
-    }
-    running->tokens = progress.tokens;
-    running->lastHeard = now;
-    if (!running->firstToken) {
-        running->firstToken = progress.firstToken;
-    }
+    noteProgress(state_, progress, now);
 }
 
 void ShardScheduler::attemptEnded(const AttemptEnd &end, TimePoint now, Commands &commands)
 {
-    if (running_.remove(end.attempt)) {
-        schedule(now, commands);
+    const std::optional<RunningAttempt> removed = state_.removeAttempt(end.attempt, now);
+    if (!removed) {
+        return;
     }
+    noteEnd(state_, *removed, end, now);
+    state_.pausedSeats += removed->pausing && end.ending == AttemptEnding::Paused ? 1 : 0;
+    schedule(now, commands);
 }
 
 void ShardScheduler::attemptRegistered(const NodeName &from, const AttemptRegistration &registration, TimePoint now)
@@ -131,250 +153,156 @@
     attempt.tokens = registration.tokens;
     attempt.granted = now - registration.age;
     attempt.lastHeard = now;
-    if (const RequestClass *requestClass = catalog_->classes().find(registration.requestClass)) {
+    if (const RequestClass *requestClass = state_.classOf(registration.requestClass); requestClass != nullptr) {
         attempt.tier = requestClass->tier;
         attempt.preemptible = requestClass->preemptible;
     }
-    running_.add(std::move(attempt));
+    // The request may also wait here, if its grant crossed with the change of scheduler.
+    state_.queue.erase(registration.request);
+    state_.addAttempt(std::move(attempt), now);
 }
 
-void ShardScheduler::loadReported(const LoadReport &report, TimePoint)
+void ShardScheduler::loadReported(const LoadReport &report, TimePoint now)
 {
-    UpstreamState *upstream = upstreams_.edit(report.upstream);
+    UpstreamState *upstream = state_.upstreams.edit(report.upstream);
     if (upstream == nullptr) {
         return;
     }
+    queueOutdated_ = queueOutdated_ || upstream->ready != report.ready || report.leaving;
     upstream->ready = report.ready;
     upstream->leavingByNotice = upstream->leavingByNotice || report.leaving;
-    queueOutdated_ = true;
+    upstream->reported = report.running + report.waiting;
+    upstream->reportedAt = now;
 }
 
-void ShardScheduler::setLeaving(const UpstreamName &upstream, bool leaving)
+void ShardScheduler::cacheChanged(const CacheEvent &event)
 {
-    if (UpstreamState *state = upstreams_.edit(upstream); state != nullptr) {
-        state->leavingByNotice = leaving;
-        queueOutdated_ = true;
+    if (state_.upstreams.contains(event.upstream)) {
+        state_.prefixes.noteEvent(event);
     }
 }
 
-void ShardScheduler::setHeld(const UpstreamName &upstream, bool held)
+void ShardScheduler::setLeaving(const UpstreamName &upstream, bool leaving)
 {
-    if (UpstreamState *state = upstreams_.edit(upstream); state != nullptr) {
-        state->held = held;
+    if (UpstreamState *row = state_.upstreams.edit(upstream); row != nullptr) {
+        row->leavingByNotice = leaving;
         queueOutdated_ = true;
     }
 }
 
-void ShardScheduler::setSeatShare(double share)
+void ShardScheduler::setHeld(const UpstreamName &upstream, bool held)
 {
-    seatShare_ = share;
+    if (UpstreamState *row = state_.upstreams.edit(upstream); row != nullptr) {
+        row->held = held;
+        queueOutdated_ = true;
+    }
 }
 
 void ShardScheduler::nodeLost(const NodeName &node, TimePoint now, Commands &commands)
 {
-    for (const RequestId &request : queue_.from(node)) {
-        queue_.erase(request);
+    for (const RequestId &request : state_.queue.from(node)) {
+        state_.queue.erase(request);
     }
     std::vector<AttemptId> lost;
-    for (const auto &[id, attempt] : running_.attempts()) {
+    for (const auto &[id, attempt] : state_.running.attempts()) {
         if (attempt.ingress == node) {
             lost.push_back(id);
         }
     }
     for (const AttemptId &id : lost) {
-        running_.remove(id);
+        state_.removeAttempt(id, now);
     }
     schedule(now, commands);
 }
 
 void ShardScheduler::tick(TimePoint now, Commands &commands)
 {
-    std::vector<AttemptId> silent;
-    for (const auto &[id, attempt] : running_.attempts()) {
-        if (now - attempt.lastHeard > SilentAttemptLimit) {
-            silent.push_back(id);
-        }
-    }
-    for (const AttemptId &id : silent) {
-        running_.remove(id);
-    }
-    for (const RequestId &request : queue_.expired(now)) {
-        refuse(request, ResultCode::DeadlineUnreachable, now, commands);
-    }
     if (queueOutdated_) {
         queueOutdated_ = false;
         reclassify(now, commands);
         refuseUnplaceable(now, commands);
     }
+    refuseExpired(state_, now, commands);
+    if (now >= nextReview_) {
+        nextReview_ = now + ReviewInterval;
+        review(now, commands);
+    }
     schedule(now, commands);
 }
 
-void ShardScheduler::reclassify(TimePoint now, Commands &commands)
+void ShardScheduler::review(TimePoint now, Commands &commands)
 {
-    for (const RequestId &request : queue_.all()) {
-        WaitingRequest waiting = *queue_.find(request);
-        const RequestClass *requestClass = catalog_->classes().find(waiting.request.requestClass);
-        if (requestClass == nullptr) {
-            refuse(request, ResultCode::UnknownClass, now, commands);
-        } else if (requestClass->tier != waiting.tier) {
-            waiting.tier = requestClass->tier;
-            queue_.push(std::move(waiting));
-        }
-    }
+    dropSilent(now);
+    reviewSpeeds(state_, now, commands);
+    probeEjected(state_, now, commands);
+    shedUnreachable(state_, now, commands);
 }
 
-void ShardScheduler::refuseUnplaceable(TimePoint now, Commands &commands)
+void ShardScheduler::schedule(TimePoint now, Commands &commands)
 {
-    for (const RequestId &request : queue_.all()) {
-        if (!anyOpenUpstream(queue_.find(request)->request)) {
-            refuse(request, ResultCode::NoUpstream, now, commands);
-        }
-    }
+    grantSeats(state_, now, commands);
+    pauseForHigherTiers(state_, now, commands);
 }
 
-void ShardScheduler::close(TimePoint now, Commands &commands)
+void ShardScheduler::dropSilent(TimePoint now)
 {
-    for (const RequestId &request : queue_.all()) {
-        refuse(request, ResultCode::NoUpstream, now, commands);
+    std::vector<AttemptId> silent;
+    for (const auto &[id, attempt] : state_.running.attempts()) {
+        if (now - attempt.lastHeard > SilentAttemptLimit) {
+            silent.push_back(id);
+        }
+    }
+    for (const AttemptId &id : silent) {
+        state_.removeAttempt(id, now);
     }
 }
 
-void ShardScheduler::addTo(PoolSummary &summary) const
+void ShardScheduler::reclassify(TimePoint now, Commands &commands)
 {
-    for (const auto &[name, upstream] : upstreams_) {
-        if (!upstream.open()) {
-            continue;
+    for (const RequestId &request : state_.queue.all()) {
+        WaitingRequest waiting = *state_.queue.find(request);
+        const RequestClass *requestClass = state_.classOf(waiting.request.requestClass);
+        if (requestClass == nullptr) {
+            refuse(state_, request, ResultCode::UnknownClass, now, commands);
+        } else if (requestClass->tier != waiting.tier) {
+            waiting.tier = requestClass->tier;
+            state_.queue.push(std::move(waiting));
         }
-        const std::uint32_t seats = usableSeats(upstream);
-        summary.totalSeats += seats;
-        summary.freeSeats += seats - std::min(seats, running_.countAt(name));
     }
 }
 
-std::uint32_t ShardScheduler::usableSeats(const UpstreamState &upstream) const
-{
-    const double share = seatShare_ * upstream.seats;
-    return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(share));
-}
-
-bool ShardScheduler::hasFreeSeat(const UpstreamState &upstream) const
-{
-    return upstream.open() && running_.countAt(upstream.name) < usableSeats(upstream);
-}
-
-bool ShardScheduler::anyFreeSeat() const
-{
-    return std::any_of(
-        upstreams_.begin(), upstreams_.end(), [this](const std::pair<const UpstreamName, UpstreamState> &entry) {
-            return hasFreeSeat(entry.second);
-        });
-}
-
-bool ShardScheduler::anyOpenUpstream(const SlotRequest &request) const
-{
-    return std::any_of(
-        upstreams_.begin(), upstreams_.end(), [&request](const std::pair<const UpstreamName, UpstreamState> &entry) {
-            return entry.second.open()
-                && std::find(request.excluded.begin(), request.excluded.end(), entry.first) == request.excluded.end();
-        });
-}
-
-const UpstreamState *ShardScheduler::chooseUpstream(const SlotRequest &request) const
+void ShardScheduler::refuseUnplaceable(TimePoint now, Commands &commands)
 {
-    const UpstreamState *best = nullptr;
-    for (const auto &[name, upstream] : upstreams_) {
-        const bool excluded =
-            std::find(request.excluded.begin(), request.excluded.end(), name) != request.excluded.end();
-        if (excluded || !hasFreeSeat(upstream)) {
-            continue;
-        }
-        if (best == nullptr || running_.countAt(name) < running_.countAt(best->name)) {
-            best = &upstream;
+    for (const RequestId &request : state_.queue.all()) {
+        if (!anyOpenUpstream(state_, state_.queue.find(request)->request)) {
+            refuse(state_, request, ResultCode::NoUpstream, now, commands);
         }
     }
-    return best;
 }
 
-std::optional<ShardScheduler::Placement> ShardScheduler::placeFirst(const ClassRank &rank) const
+void ShardScheduler::close(TimePoint now, Commands &commands)
 {
-    for (const RequestId &candidate : queue_.candidates(rank, MaxCandidates)) {
-        const UpstreamState *upstream = chooseUpstream(queue_.find(candidate)->request);
-        if (upstream != nullptr) {
-            return Placement { candidate, upstream->name };
-        }
+    for (const RequestId &request : state_.queue.all()) {
+        refuse(state_, request, ResultCode::NoUpstream, now, commands);
     }
-    return std::nullopt;
 }
 
-void ShardScheduler::schedule(TimePoint now, Commands &commands)
+void ShardScheduler::addTo(PoolSummary &summary, TimePoint now) const
 {
-    while (!queue_.empty() && anyFreeSeat()) {
-        std::optional<Placement> placement;
-        for (const ClassRank &rank : queue_.ranks()) {
-            placement = placeFirst(rank);
-            if (placement) {
-                break;
-            }
-        }
-        if (!placement) {
-            return;
+    const std::uint32_t free = freeSeatsOfShard(state_, now);
+    summary.totalSeats += seatsOfShard(state_);
+    summary.freeSeats += free;
+    for (const auto &[name, requestClass] : state_.catalog->classes()) {
+        if (summary.waitByTier.size() <= requestClass.tier) {
+            summary.waitByTier.resize(requestClass.tier + 1);
         }
-        grant(*placement, "tier_order", now, commands);
+        const ClassRank rank { requestClass.tier, name };
+        const std::optional<double> seconds = expectedWait(state_, rank, state_.queue.sizeOf(rank) + 1, now);
+        const Duration wait = free > state_.queue.size()
+            ? Duration(0)
+            : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds.value_or(0.0)));
+        summary.waitByTier[requestClass.tier] = std::max(summary.waitByTier[requestClass.tier], wait);
     }
 }
 
-void ShardScheduler::grant(const Placement &placement, std::string_view reason, TimePoint now, Commands &commands)
-{
-    const TeamName team = queue_.find(placement.request)->request.team;
-    const Team *row = catalog_->teams().find(team);
-    const WaitingRequest waiting = queue_.take(placement.request, 1.0, row == nullptr ? 1 : row->weight);
-    RunningAttempt attempt;
-    attempt.attempt = issuer_.issue();
-    attempt.request = placement.request;
-    attempt.ingress = waiting.from;
-    attempt.upstream = placement.upstream;
-    attempt.requestClass = waiting.request.requestClass;
-    attempt.team = team;
-    attempt.tier = waiting.tier;
-    const RequestClass *requestClass = catalog_->classes().find(waiting.request.requestClass);
-    attempt.preemptible = requestClass != nullptr && requestClass->preemptible;
-    attempt.promptTokens = waiting.request.promptTokens;
-    attempt.granted = now;
-    attempt.lastHeard = now;
-    attempt.batchSize = running_.countAt(placement.upstream) + 1;
-    commands.push_back(
-        PeerSend { waiting.from, SlotGrant { attempt.request, attempt.attempt, attempt.upstream, shard_ } });
-    commands.push_back(grantDecision(attempt, now - waiting.arrived, reason));
-    running_.add(std::move(attempt));
-}
-
-void ShardScheduler::refuse(const RequestId &request, ResultCode code, TimePoint now, Commands &commands)
-{
-    const WaitingRequest waiting = *queue_.find(request);
-    queue_.erase(request);
-    const Duration retryAfter = retryAfterFor(waiting.request.requestClass);
-    commands.push_back(PeerSend { waiting.from, SlotRefusal { request, shard_, code, retryAfter } });
-    commands.push_back(refusalDecision(waiting.request, waiting.tier, now - waiting.arrived, code, retryAfter));
-}
-
-void ShardScheduler::refuseUnqueued(
-    const NodeName &from, const SlotRequest &request, ResultCode code, Duration retryAfter, Commands &commands)
-{
-    const RequestClass *requestClass = catalog_->classes().find(request.requestClass);
-    queue_.erase(request.request);
-    commands.push_back(PeerSend { from, SlotRefusal { request.request, shard_, code, retryAfter } });
-    commands.push_back(
-        refusalDecision(request, requestClass == nullptr ? 0 : requestClass->tier, Duration(0), code, retryAfter));
-}
-
-void ShardScheduler::repeatGrant(const NodeName &from, const RunningAttempt &attempt, Commands &commands) const
-{
-    commands.push_back(PeerSend { from, SlotGrant { attempt.request, attempt.attempt, attempt.upstream, shard_ } });
-}
-
-Duration ShardScheduler::retryAfterFor(const ClassName &)
-{
-    return issuer_.random().jittered(DefaultRetryAfter, RetryAfterJitter);
-}
-
 } // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/speed_model.cpp
@@ -0,0 +1,140 @@
+#include "servers/scheduling/speed_model.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Shorter prefills are dominated by fixed costs and say nothing of the rate. */
+constexpr std::uint32_t MinPrefillTokens = 128;
+
+/** Samples before an upstream is compared with the others. */
+constexpr std::uint64_t MinSamples = 5;
+
+/** Share of the old samples' weight that each new one leaves. */
+constexpr double LineMemory = 0.998;
+
+/** Shortest gap that a line may predict, in seconds. */
+constexpr double MinGapSeconds = 0.0001;
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace
+
+void SpeedModel::GapLine::add(double batch, double gap)
+{
+    weight = weight * LineMemory + 1.0;
+    sumBatch = sumBatch * LineMemory + batch;
+    sumBatchSquared = sumBatchSquared * LineMemory + batch * batch;
+    sumGap = sumGap * LineMemory + gap;
+    sumProduct = sumProduct * LineMemory + batch * gap;
+}
+
+double SpeedModel::GapLine::at(double batch) const
+{
+    const double meanBatch = sumBatch / weight;
+    const double meanGap = sumGap / weight;
+    const double variance = sumBatchSquared / weight - meanBatch * meanBatch;
+    // Batches of nearly one size tell nothing of the slope; a larger batch is never faster.
+    const double slope = variance < 0.25 ? 0.0 : std::max(0.0, (sumProduct / weight - meanBatch * meanGap) / variance);
+    return std::max(MinGapSeconds, meanGap + slope * (batch - meanBatch));
+}
+
+void SpeedModel::noteFirstToken(const UpstreamName &upstream, std::uint32_t promptTokens, Duration firstToken)
+{
+    if (promptTokens < MinPrefillTokens || firstToken <= Duration(0)) {
+        return;
+    }
+    if (!upstreams_.contains(upstream)) {
+        upstreams_.put(upstream, Measured {});
+    }
+    const double rate = promptTokens / secondsOf(firstToken);
+    upstreams_.edit(upstream)->prefillRate.add(rate);
+    shardPrefillRate_.add(rate);
+}
+
+void SpeedModel::noteGap(const UpstreamName &upstream, std::uint32_t batchSize, Duration gap)
+{
+    if (gap <= Duration(0)) {
+        return;
+    }
+    if (!upstreams_.contains(upstream)) {
+        upstreams_.put(upstream, Measured {});
+    }
+    line_.add(batchSize, secondsOf(gap));
+    upstreams_.edit(upstream)->gapRatio.add(secondsOf(gap) / line_.at(batchSize));
+}
+
+std::optional<double> SpeedModel::prefillRate(const UpstreamName &upstream) const
+{
+    const Measured *measured = upstreams_.find(upstream);
+    if (measured != nullptr && measured->prefillRate.samples() >= MinSamples) {
+        return measured->prefillRate.value();
+    }
+    if (shardPrefillRate_.samples() == 0) {
+        return std::nullopt;
+    }
+    return shardPrefillRate_.value();
+}
+
+std::optional<Duration> SpeedModel::gapAt(const UpstreamName &upstream, std::uint32_t batchSize) const
+{
+    if (line_.weight == 0.0) {
+        return std::nullopt;
+    }
+    const Measured *measured = upstreams_.find(upstream);
+    const bool own = measured != nullptr && measured->gapRatio.samples() >= MinSamples;
+    return fromSeconds(line_.at(batchSize) * (own ? measured->gapRatio.value() : 1.0));
+}
+
+double SpeedModel::medianOf(double (*value)(const Measured &), std::uint64_t (*samples)(const Measured &)) const
+{
+    std::vector<double> values;
+    for (const auto &[name, measured] : upstreams_) {
+        if (samples(measured) >= MinSamples) {
+            values.push_back(value(measured));
+        }
+    }
+    if (values.empty()) {
+        return 0.0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[(values.size() - 1) / 2];
+}
+
+double SpeedModel::slowness(const UpstreamName &upstream) const
+{
+    const Measured *measured = upstreams_.find(upstream);
+    if (measured == nullptr) {
+        return 1.0;
+    }
+    double slowness = 1.0;
+    if (measured->gapRatio.samples() >= MinSamples) {
+        const double median = medianOf([](const Measured &row) { return row.gapRatio.value(); },
+                                       [](const Measured &row) { return row.gapRatio.samples(); });
+        slowness = std::max(slowness, measured->gapRatio.value() / median);
+    }
+    if (measured->prefillRate.samples() >= MinSamples) {
+        const double median = medianOf([](const Measured &row) { return 1.0 / row.prefillRate.value(); },
+                                       [](const Measured &row) { return row.prefillRate.samples(); });
+        slowness = std::max(slowness, 1.0 / (measured->prefillRate.value() * median));
+    }
+    return slowness;
+}
+
+void SpeedModel::forget(const UpstreamName &upstream)
+{
+    upstreams_.erase(upstream);
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/speed_model.h
@@ -0,0 +1,71 @@
+/** Measured speeds of a shard's upstreams: prefill rate, gap between tokens by batch size, slowness against the median.
+ */
+#pragma once
+
+#include <optional>
+
+#include "servers/scheduling/moving_average.h"
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+class SpeedModel
+{
+public:
+    /** An attempt's first token came after the upstream had to compute the given number of prompt tokens, those queued
+     * before it included. */
+    void noteFirstToken(const UpstreamName &upstream, std::uint32_t promptTokens, Duration firstToken);
+
+    /** Tokens came at the given gap while the upstream served a batch of the given size. */
+    void noteGap(const UpstreamName &upstream, std::uint32_t batchSize, Duration gap);
+
+    /** Prompt tokens per second; of the whole shard if the upstream has not been measured, nothing if none has. */
+    std::optional<double> prefillRate(const UpstreamName &upstream) const;
+
+    /** Expected gap between tokens at a batch size; nothing as long as none has been measured. */
+    std::optional<Duration> gapAt(const UpstreamName &upstream, std::uint32_t batchSize) const;
+
+    /** How many times slower than the shard's median the upstream is; 1 if it has too few samples. */
+    double slowness(const UpstreamName &upstream) const;
+
+    /** Forgets what was measured of the upstream's slowness, for example after a restart. */
+    void forget(const UpstreamName &upstream);
+
+    /** Forgets every upstream that is not in the table's keys. */
+    template<typename Row>
+    void keepOnly(const Table<UpstreamName, Row> &known)
+    {
+        upstreams_.eraseIf([&known](const UpstreamName &name, const Measured &) { return !known.contains(name); });
+    }
+
+private:
+    struct Measured
+    {
+        /** Prompt tokens per second. */
+        MovingAverage prefillRate { 0.1 };
+        /** Observed gap divided by the one that the shard's line predicts for the batch size. */
+        MovingAverage gapRatio { 0.15 };
+    };
+
+    /** Line through (batch size, gap in seconds) by least squares with forgetting. */
+    struct GapLine
+    {
+        double weight = 0.0;
+        double sumBatch = 0.0;
+        double sumBatchSquared = 0.0;
+        double sumGap = 0.0;
+        double sumProduct = 0.0;
+
+        void add(double batch, double gap);
+        double at(double batch) const;
+    };
+
+    double medianOf(double (*value)(const Measured &), std::uint64_t (*samples)(const Measured &)) const;
+
+    Table<UpstreamName, Measured> upstreams_;
+    MovingAverage shardPrefillRate_ { 0.02 };
+    GapLine line_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/upstream_choice.cpp
@@ -0,0 +1,59 @@
+#include "servers/scheduling/upstream_choice.h"
+
+#include <algorithm>
+
+#include "servers/scheduling/seats.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Tokens of one prefix block: four bytes of text are about one token. */
+constexpr double TokensPerBlock = PrefixBlockBytes / 4.0;
+
+/** True if the first choice is better: sooner by expectation, or less occupied where nothing is known. */
+bool better(const ShardState &state, const UpstreamChoice &first, const UpstreamChoice &second)
+{
+    if (first.expectedFirstToken != second.expectedFirstToken) {
+        return first.expectedFirstToken < second.expectedFirstToken;
+    }
+    return state.upstreams.find(first.upstream)->inFlight < state.upstreams.find(second.upstream)->inFlight;
+}
+
+} // namespace
+
+std::uint32_t uncachedTokens(const ShardState &state, const SlotRequest &request, const UpstreamName &upstream)
+{
+    const std::uint32_t tokens = request.promptTokens + request.deliveredTokens;
+    const double cached = state.prefixes.cachedBlocks(upstream, request.prefixHashes) * TokensPerBlock;
+    return tokens - std::min(tokens, static_cast<std::uint32_t>(cached));
+}
+
+UpstreamChoice expectedAt(const ShardState &state, const SlotRequest &request, const UpstreamState &upstream)
+{
+    UpstreamChoice choice { upstream.name, uncachedTokens(state, request, upstream.name), 0.0 };
+    if (const std::optional<double> rate = state.speeds.prefillRate(upstream.name); rate) {
+        choice.expectedFirstToken += static_cast<double>(upstream.pendingPrefill + choice.uncachedTokens) / *rate;
+    }
+    if (const std::optional<Duration> gap = state.speeds.gapAt(upstream.name, upstream.inFlight + 1); gap) {
+        choice.expectedFirstToken += std::chrono::duration<double>(*gap).count();
+    }
+    return choice;
+}
+
+std::optional<UpstreamChoice> chooseUpstream(const ShardState &state, const SlotRequest &request, TimePoint now)
+{
+    std::optional<UpstreamChoice> best;
+    for (const auto &[name, upstream] : state.upstreams) {
+        if (excludes(request, name) || !hasFreeSeat(state, upstream, now)) {
+            continue;
+        }
+        const UpstreamChoice choice = expectedAt(state, request, upstream);
+        if (!best || better(state, choice, *best)) {
+            best = choice;
+        }
+    }
+    return best;
+}
+
+} // namespace GeraniumLever
--- a/servers/scheduling/upstream_state.h
+++ b/servers/scheduling/upstream_state.h
@@ -1,6 +1,8 @@
 /** Entity of a shard's upstream table: everything that decides whether an upstream may get a new attempt. */
 #pragma once
 
+#include "servers/scheduling/peak_window.h"
+
 #include "core/core.h"
 
 namespace GeraniumLever {
@@ -19,7 +21,27 @@
     /** Taken out of service by orders. */
     bool held = false;
 
-    /** True if it may get new attempts. */
+    /** Attempts that hold a seat. */
+    std::uint32_t inFlight = 0;
+    /** The number of attempts that held a seat in the last seconds, which a lagging report may still show. */
+    PeakWindow inFlightPeak;
+    /** Prompt tokens that it still has to compute, as estimated. */
+    std::uint64_t pendingPrefill = 0;
+    /** Requests in the last load report. */
+    std::uint32_t reported = 0;
+    TimePoint reportedAt;
+
+    /** Attempts that were lost or refused since the last one that was not. */
+    std::uint32_t failures = 0;
+    /** No new attempt before this, because of failures. */
+    TimePoint closedUntil;
+    /** Times slower than the shard's median. */
+    double slowness = 1.0;
+    /** Out of service but for probes, because of its slowness. */
+    bool ejected = false;
+    TimePoint nextProbe;
+
+    /** True if nothing but its speed and failures keeps it from getting new attempts. */
     bool open() const { return !leavingByCatalog && !leavingByNotice && ready && !held; }
 
     bool operator==(const UpstreamState &) const = default;
--- a/servers/scheduling/waiting_queue.cpp
+++ b/servers/scheduling/waiting_queue.cpp
@@ -29,17 +29,18 @@
     if (team.requests.empty()) {
         team.startTag = std::max(team.startTag, queue.virtualTime);
         queue.active.emplace(team.startTag, waiting.request.team);
+        team.weight = std::max<std::uint32_t>(1, waiting.weight);
+        queue.activeWeight += team.weight;
     }
     const DeadlineKey key { waiting.deadline, waiting.sequence };
     team.requests.emplace(key, id);
     queue.byArrival.emplace(waiting.sequence, id);
-    queue.byDeadline.emplace(key, id);
     deadlines_.emplace(key, id);
     arrivals_.emplace(waiting.sequence, id);
     requests_.emplace(id, std::move(waiting));
 }
 
-const WaitingRequest *WaitingQueue::find(const RequestId &request) const
+const WaitingRequest *WaitingQueue::find(RequestId request) const
 {
     const std::unordered_map<RequestId, WaitingRequest>::const_iterator found = requests_.find(request);
     return found == requests_.end() ? nullptr : &found->second;
@@ -53,15 +54,15 @@
     team.requests.erase(key);
     if (team.requests.empty()) {
         queue.active.erase({ team.startTag, waiting.request.team });
+        queue.activeWeight -= team.weight;
         forgetIdleTeams(queue);
     }
     queue.byArrival.erase(waiting.sequence);
-    queue.byDeadline.erase(key);
     deadlines_.erase(key);
     arrivals_.erase(waiting.sequence);
 }
 
-bool WaitingQueue::erase(const RequestId &request)
+bool WaitingQueue::erase(RequestId request)
 {
     const WaitingRequest *waiting = find(request);
     if (waiting == nullptr) {
@@ -72,7 +73,7 @@
     return true;
 }
 
-WaitingRequest WaitingQueue::take(const RequestId &request, double cost, std::uint32_t weight)
+WaitingRequest WaitingQueue::take(RequestId request, double cost, std::uint32_t weight)
 {
     const std::unordered_map<RequestId, WaitingRequest>::iterator found = requests_.find(request);
     WaitingRequest waiting = std::move(found->second);
@@ -190,18 +191,45 @@
     return found;
 }
 
-std::vector<RequestId> WaitingQueue::byDeadline(const ClassRank &rank) const
+const WaitingQueue::TeamQueue *WaitingQueue::teamQueue(const ClassRank &rank, const TeamName &team) const
 {
-    std::vector<RequestId> found;
     const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
     if (queue == classes_.end()) {
-        return found;
+        return nullptr;
     }
-    found.reserve(queue->second.byDeadline.size());
-    for (const auto &[key, id] : queue->second.byDeadline) {
-        found.push_back(id);
+    const std::map<TeamName, TeamQueue>::const_iterator found = queue->second.teams.find(team);
+    return found == queue->second.teams.end() || found->second.requests.empty() ? nullptr : &found->second;
+}
+
+std::vector<TeamName> WaitingQueue::teamsOf(const ClassRank &rank) const
+{
+    std::vector<TeamName> teams;
+    const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
+    if (queue == classes_.end()) {
+        return teams;
     }
-    return found;
+    for (const auto &[startTag, team] : queue->second.active) {
+        teams.push_back(team);
+    }
+    std::sort(teams.begin(), teams.end());
+    return teams;
+}
+
+const WaitingRequest *WaitingQueue::lastOf(const ClassRank &rank, const TeamName &team) const
+{
+    const TeamQueue *queue = teamQueue(rank, team);
+    return queue == nullptr ? nullptr : find(queue->requests.rbegin()->second);
+}
+
+std::size_t WaitingQueue::expectedAhead(const ClassRank &rank, const TeamName &team) const
+{
+    const TeamQueue *queue = teamQueue(rank, team);
+    if (queue == nullptr) {
+        return 0;
+    }
+    const ClassQueue &all = classes_.at(rank);
+    const std::size_t byShare = queue->requests.size() * all.activeWeight / queue->weight;
+    return std::min(byShare, all.byArrival.size()) - 1;
 }
 
 std::vector<RequestId> WaitingQueue::from(const NodeName &node) const
--- a/servers/scheduling/waiting_queue.h
+++ b/servers/scheduling/waiting_queue.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <map>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -30,13 +31,13 @@
     void push(WaitingRequest waiting);
 
     /** The request, or nullptr. Valid until the queue changes. */
-    const WaitingRequest *find(const RequestId &request) const;
+    const WaitingRequest *find(RequestId request) const;
 
     /** Removes a request without charging its team; false if it is not there. */
-    bool erase(const RequestId &request);
+    bool erase(RequestId request);
 
-    /** Removes a request that has been granted, and charges its team with cost / weight. */
-    WaitingRequest take(const RequestId &request, double cost, std::uint32_t weight);
+    /** Removes a request that gets a seat, and charges its team with cost / weight. */
+    WaitingRequest take(RequestId request, double cost, std::uint32_t weight);
 
     /** Classes with waiting requests, highest tier first. */
     std::vector<ClassRank> ranks() const;
@@ -59,8 +60,14 @@
     /** Requests whose deadline is not after now, earliest first. */
     std::vector<RequestId> expired(TimePoint now) const;
 
-    /** Requests of a class, earliest deadline first. */
-    std::vector<RequestId> byDeadline(const ClassRank &rank) const;
+    /** Teams with waiting requests of a class, in name order. */
+    std::vector<TeamName> teamsOf(const ClassRank &rank) const;
+
+    /** The team's request of a class that is served last, or nullptr. */
+    const WaitingRequest *lastOf(const ClassRank &rank, const TeamName &team) const;
+
+    /** Number of the class's requests that fair queuing is expected to serve before the team's last one. */
+    std::size_t expectedAhead(const ClassRank &rank, const TeamName &team) const;
 
     /** Requests that came from a node. */
     std::vector<RequestId> from(const NodeName &node) const;
@@ -78,6 +85,7 @@
     {
         /** Virtual time at which the team's next request starts. */
         double startTag = 0.0;
+        std::uint32_t weight = 1;
         std::map<DeadlineKey, RequestId> requests;
     };
 
@@ -88,9 +96,11 @@
         /** Teams with waiting requests, by start tag. */
         std::set<std::pair<double, TeamName>> active;
         std::map<std::uint64_t, RequestId> byArrival;
-        std::map<DeadlineKey, RequestId> byDeadline;
+        /** Sum of the weights of the active teams. */
+        std::uint64_t activeWeight = 0;
     };
 
+    const TeamQueue *teamQueue(const ClassRank &rank, const TeamName &team) const;
     static ClassRank rankOf(const WaitingRequest &waiting);
     void unlink(const WaitingRequest &waiting);
     void charge(const WaitingRequest &waiting, double cost, std::uint32_t weight);
--- a/servers/scheduling/waiting_request.h
+++ b/servers/scheduling/waiting_request.h
@@ -16,6 +16,8 @@
     /** Order of arrival at this scheduler. */
     std::uint64_t sequence = 0;
     std::uint32_t tier = 0;
+    /** The team's weight in fair queuing. */
+    std::uint32_t weight = 1;
 
     bool operator==(const WaitingRequest &) const = default;
 };
