--- a/servers/scheduling/shedding_system.cpp
+++ b/servers/scheduling/shedding_system.cpp
@@ -12,7 +12,8 @@
 
 } // namespace
 
-void shedUnreachableOf(ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands)
+void shedUnreachableOf(
+    ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands)
 {
     while (const WaitingRequest *last = state.queue.lastOf(rank, team)) {
         const std::size_t ahead = state.queue.expectedAhead(rank, team);
--- a/servers/scheduling/shedding_system.h
+++ b/servers/scheduling/shedding_system.h
@@ -6,7 +6,8 @@
 namespace GeraniumLever {
 
 /** Refuses the requests of the class's team that cannot get a seat before their deadline, the last in order first. */
-void shedUnreachableOf(ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands);
+void shedUnreachableOf(
+    ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands);
 
 /** Refuses the requests whose deadline has passed. */
 void refuseExpired(ShardState &state, TimePoint now, Commands &commands);
