--- a/servers/claims/claim_calls.cpp
+++ b/servers/claims/claim_calls.cpp
@@ -13,31 +13,8 @@
 
 constexpr Duration QueryTimeout = std::chrono::seconds(1);
 constexpr Duration StatusTimeout = std::chrono::seconds(5);
-constexpr Duration RunningRetryAfter = std::chrono::seconds(1);
-constexpr Duration StoreRetryAfter = std::chrono::seconds(2);
-constexpr Duration UnknownRetryAfter = std::chrono::seconds(5);
 constexpr unsigned MaxRereads = 2;
 
-/** Between one and two times the base, so that refused callers do not come back all at once. */
-Duration spreadRetryAfter(Duration base, const RequestId &request)
-{
-    constexpr std::uint64_t Steps = 1000;
-    const std::uint64_t step = std::hash<RequestId>()(request) % Steps;
-    return base + base * static_cast<Duration::rep>(step) / static_cast<Duration::rep>(Steps);
-}
-
-Error deadlinePassed()
-{
-    return { ResultCode::DeadlineUnreachable, "The deadline passed before the call was started.", {} };
-}
-
-ClaimStatus statusOf(const ClaimCall &call)
-{
-    ClaimStatus status;
-    status.request = call.request.request;
-    return status;
-}
-
 } // namespace
 
 ClaimCalls::ClaimCalls(NodeName self, Incarnation incarnation, OperationCounter &operations, ClaimWriter &writer)
@@ -76,7 +53,7 @@
     call->kind = Kind::Claim;
     call->attempt = attempt;
     if (now >= call->request.deadline) {
-        refuse(*call, deadlinePassed(), Outcome::NotRun, commands);
+        end(*call, endTooLate(*call), commands);
         return;
     }
     const OwnClaim *own = writer_.activeFor(call->key);
@@ -130,7 +107,7 @@
         const ClaimCall *call = calls_.find(request);
         if (call != nullptr && call->stage == Stage::Querying && call->row.holder == node) {
             querying_.erase(request);
-            unknown(*call, true, commands);
+            end(*call, endUnknown(*call, true), commands);
         }
     }
 }
@@ -193,13 +170,13 @@
 void ClaimCalls::decideLocally(const ClaimCall &call, const OwnClaim &claim, Commands &commands)
 {
     if (call.kind != Kind::Status && claim.row.bodyDigest != call.request.bodyDigest) {
-        refuseOtherBody(call, commands);
+        end(call, endOtherBody(call), commands);
     } else if (claim.answer) {
-        answered(call, *claim.answer, commands);
+        end(call, endAnswered(call, *claim.answer), commands);
     } else if (claim.row.state == ClaimState::Unknown) {
-        unknown(call, false, commands);
+        end(call, endUnknown(call, false), commands);
     } else {
-        running(call, commands);
+        end(call, endRunning(call), commands);
     }
 }
 
@@ -212,7 +189,7 @@
     }
     const std::optional<ClaimRow> found = parseClaimRow(row->value);
     if (!found) {
-        unknown(call, false, commands);
+        end(call, endUnknown(call, false), commands);
         return;
     }
     if (row->version != call.rowVersion) {
@@ -223,9 +200,9 @@
     if (found->state == ClaimState::Released) {
         claimable(call, { TableCondition::Kind::VersionIs, row->version }, now, commands);
     } else if (call.kind != Kind::Status && found->bodyDigest != call.request.bodyDigest) {
-        refuseOtherBody(call, commands);
+        end(call, endOtherBody(call), commands);
     } else if (found->state == ClaimState::Unknown) {
-        unknown(call, false, commands);
+        end(call, endUnknown(call, false), commands);
     } else if (found->state == ClaimState::Claimed) {
         decideClaimed(call, now, commands);
     } else {
@@ -237,15 +214,15 @@
 void ClaimCalls::decideClaimed(ClaimCall &call, TimePoint now, Commands &commands)
 {
     if (call.standing == ClaimStanding::NotKnown) {
-        unknown(call, false, commands);
+        end(call, endUnknown(call, false), commands);
         return;
     }
     if (call.standing == ClaimStanding::Finished) {
-        running(call, commands);
+        end(call, endRunning(call), commands);
         return;
     }
     if (call.row.holder == self_ && call.row.incarnation != incarnation_) {
-        unknown(call, false, commands);
+        end(call, endUnknown(call, false), commands);
         return;
     }
     if (call.row.holder == self_) {
@@ -263,7 +240,7 @@
     ClaimCall &call = *calls_.edit(request);
     switch (standing) {
     case ClaimStanding::Running:
-        running(call, commands);
+        end(call, endRunning(call), commands);
         return;
     case ClaimStanding::Abandoned:
         claimable(call, { TableCondition::Kind::VersionIs, call.rowVersion }, now, commands);
@@ -274,7 +251,7 @@
     }
     ++call.rereads;
     if (call.rereads > MaxRereads) {
-        running(call, commands);
+        end(call, endRunning(call), commands);
         return;
     }
     // The holder may have written the row after it was read here.
@@ -286,7 +263,8 @@
 void ClaimCalls::rowRead(const RequestId &request, const StoreResult &result, TimePoint now, Commands &commands)
 {
     if (result.status != StoreStatus::Done) {
-        unavailable(*calls_.find(request), Outcome::Unknown, commands);
+        const ClaimCall &call = *calls_.find(request);
+        end(call, endUnavailable(call, Outcome::Unknown), commands);
         return;
     }
     decide(request, result.rows.empty() ? nullptr : &result.rows.front(), now, commands);
@@ -296,12 +274,12 @@
 {
     const ClaimCall &call = *calls_.find(request);
     if (result.status != StoreStatus::Done || !result.content) {
-        unavailable(call, Outcome::Unknown, commands);
+        end(call, endUnavailable(call, Outcome::Unknown), commands);
         return;
     }
     RecordedAnswer answer = call.row.answer;
     answer.body = *result.content;
-    answered(call, answer, commands);
+    end(call, endAnswered(call, answer), commands);
 }
 
 void ClaimCalls::giveUp(const RequestId &request, TimePoint now, Commands &commands)
@@ -313,10 +291,10 @@
     switch (call->stage) {
     case Stage::Reading:
     case Stage::Fetching:
-        unavailable(*call, Outcome::Unknown, commands);
+        end(*call, endUnavailable(*call, Outcome::Unknown), commands);
         return;
     case Stage::Querying:
-        unknown(*call, true, commands);
+        end(*call, endUnknown(*call, true), commands);
         return;
     case Stage::Claimable:
         return;
@@ -327,7 +305,7 @@
         return;
     }
     writer_.abandon(call->attempt, now);
-    refuse(*call, deadlinePassed(), Outcome::NotRun, commands);
+    end(*call, endTooLate(*call), commands);
 }
 
 void ClaimCalls::insertEnded(const InsertResult &result, TimePoint now, Commands &commands)
@@ -344,14 +322,14 @@
     } else if (const InsertLost *lost = std::get_if<InsertLost>(&result)) {
         decide(request, &lost->row, now, commands);
     } else {
-        unavailable(*call, Outcome::NotRun, commands);
+        end(*call, endUnavailable(*call, Outcome::NotRun), commands);
     }
 }
 
 void ClaimCalls::replay(ClaimCall &call, Commands &commands)
 {
     if (call.row.object.empty()) {
-        answered(call, call.row.answer, commands);
+        end(call, endAnswered(call, call.row.answer), commands);
         return;
     }
     call.stage = Stage::Fetching;
@@ -370,11 +348,7 @@
 {
     call.condition = condition;
     if (call.kind == Kind::Status) {
-        ClaimStatus status = statusOf(call);
-        if (condition.kind != TableCondition::Kind::Absent) {
-            status.outcome = Outcome::NotRun;
-        }
-        endWithStatus(call, std::move(status));
+        end(call, endFree(call, condition.kind == TableCondition::Kind::Absent), commands);
         return;
     }
     if (call.kind == Kind::LookUp) {
@@ -383,7 +357,7 @@
         return;
     }
     if (now >= call.request.deadline) {
-        refuse(call, deadlinePassed(), Outcome::NotRun, commands);
+        end(call, endTooLate(call), commands);
         return;
     }
     call.stage = Stage::Owner;
@@ -391,84 +365,16 @@
     writer_.insert(call.key, rowFor(call), condition, now);
 }
 
-void ClaimCalls::answered(const ClaimCall &call, const RecordedAnswer &answer, Commands &commands)
-{
-    if (call.kind == Kind::Status) {
-        ClaimStatus status = statusOf(call);
-        status.outcome = Outcome::Answered;
-        status.answer = answer;
-        endWithStatus(call, std::move(status));
-        return;
-    }
-    log(call, "replayed", commands);
-    notices_.emplace_back(ClaimReplay { call.request.request, answer });
-    forget(call.request.request);
-}
-
-void ClaimCalls::running(const ClaimCall &call, Commands &commands)
+void ClaimCalls::end(const ClaimCall &call, ClaimEnd end, Commands &commands)
 {
-    if (call.kind == Kind::Status) {
-        ClaimStatus status = statusOf(call);
-        status.running = true;
-        endWithStatus(call, std::move(status));
-        return;
-    }
-    const Duration retryAfter = spreadRetryAfter(RunningRetryAfter, call.request.request);
-    refuse(call,
-           { ResultCode::ClaimRunning, "An earlier call under this key is still running.", retryAfter },
-           Outcome::Unknown,
-           commands);
-}
-
-void ClaimCalls::unknown(const ClaimCall &call, bool mayBeSettledLater, Commands &commands)
-{
-    if (call.kind == Kind::Status) {
-        ClaimStatus status = statusOf(call);
-        status.outcome = Outcome::Unknown;
-        endWithStatus(call, std::move(status));
-        return;
-    }
-    Error error { ResultCode::OutcomeUnknown, "It is not known whether the call under this key ran.", {} };
-    if (mayBeSettledLater) {
-        error.retryAfter = spreadRetryAfter(UnknownRetryAfter, call.request.request);
-    }
-    refuse(call, std::move(error), Outcome::Unknown, commands);
-}
-
-void ClaimCalls::unavailable(const ClaimCall &call, Outcome outcome, Commands &commands)
-{
-    const Duration retryAfter = spreadRetryAfter(StoreRetryAfter, call.request.request);
-    const std::string_view message = outcome == Outcome::NotRun
-        ? "The call was not run: the table service is not available."
-        : "The table service is not available to tell whether an earlier call under this key ran.";
-    Error error { ResultCode::ClaimStoreUnavailable, std::string(message), retryAfter };
-    if (call.kind == Kind::Status) {
-        ClaimStatus status = statusOf(call);
-        status.error = std::move(error);
-        endWithStatus(call, std::move(status));
-        return;
+    if (ClaimStatus *status = std::get_if<ClaimStatus>(&end)) {
+        statuses_.push_back(std::move(*status));
+    } else {
+        ClaimNotice &notice = std::get<ClaimNotice>(end);
+        const ClaimRefused *refused = std::get_if<ClaimRefused>(&notice);
+        log(call, refused == nullptr ? "replayed" : resultCodeName(refused->error.code), commands);
+        notices_.push_back(std::move(notice));
     }
-    refuse(call, std::move(error), outcome, commands);
-}
-
-void ClaimCalls::refuseOtherBody(const ClaimCall &call, Commands &commands)
-{
-    refuse(call,
-           { ResultCode::KeyReusedWithOtherBody, "The key belongs to a call with another body.", {} },
-           Outcome::NotRun,
-           commands);
-}
-
-void ClaimCalls::refuse(const ClaimCall &call, Error error, Outcome outcome, Commands &commands)
-{
-    log(call, resultCodeName(error.code), commands);
-    notices_.emplace_back(ClaimRefused { call.request.request, std::move(error), outcome });
-    forget(call.request.request);
-}
-
-void ClaimCalls::endWithStatus(const ClaimCall &call, ClaimStatus status)
-{
-    statuses_.push_back(std::move(status));
     forget(call.request.request);
 }
 
--- a/servers/claims/claim_calls.h
+++ b/servers/claims/claim_calls.h
@@ -8,55 +8,12 @@
 #include <vector>
 
 #include "core/core.h"
-#include "servers/claims/claim_row.h"
+#include "servers/claims/claim_call.h"
+#include "servers/claims/claim_end.h"
 #include "servers/claims/claim_writer.h"
 
 namespace GeraniumLever {
 
-/** One request of a caller, from its look-up until it is refused, replayed, or handed to the claim writer for good. */
-struct ClaimCall
-{
-    enum class Kind : std::uint8_t {
-        /** Only the caller's question what became of the key. */
-        Status,
-        LookUp,
-        Claim,
-    };
-
-    enum class Stage : std::uint8_t {
-        /** The row is being read. */
-        Reading,
-        /** The node that holds the claim is being asked. */
-        Querying,
-        /** The recorded answer's body is being read from the object store. */
-        Fetching,
-        /** The row may be claimed under `condition`. */
-        Claimable,
-        /** The claim writer has the claim. */
-        Owner,
-    };
-
-    ClaimRequest request;
-    std::string key;
-    Kind kind = Kind::LookUp;
-    Stage stage = Stage::Reading;
-    /** The read under way, in Reading and Fetching. */
-    OperationId operation;
-    /** When the stage is given up. */
-    TimePoint timeout;
-    TableCondition condition;
-    AttemptId attempt;
-    /** The row that the stages Querying and Fetching are about, and its version. */
-    ClaimRow row;
-    std::uint64_t rowVersion = 0;
-    /** Finished or NotKnown, if the row's holder said so of this version of the row. */
-    std::optional<ClaimStanding> standing;
-    /** How often a holder said so. */
-    unsigned rereads = 0;
-
-    bool operator==(const ClaimCall &) const = default;
-};
-
 /**
  * Decides each call by its row. A call is told "not run" only after its row was read and showed no earlier run, or
  * because its own attempt was abandoned first; otherwise the outcome is unknown.
@@ -103,15 +60,10 @@
     void replay(ClaimCall &call, Commands &commands);
     void wait(ClaimCall &call, TimePoint timeout);
 
-    /** Ends of a call; each erases it, but for claimable, after which it may be claimed. */
     void claimable(ClaimCall &call, const TableCondition &condition, TimePoint now, Commands &commands);
-    void answered(const ClaimCall &call, const RecordedAnswer &answer, Commands &commands);
-    void running(const ClaimCall &call, Commands &commands);
-    void unknown(const ClaimCall &call, bool mayBeSettledLater, Commands &commands);
-    void unavailable(const ClaimCall &call, Outcome outcome, Commands &commands);
-    void refuseOtherBody(const ClaimCall &call, Commands &commands);
-    void refuse(const ClaimCall &call, Error error, Outcome outcome, Commands &commands);
-    void endWithStatus(const ClaimCall &call, ClaimStatus status);
+
+    /** Hands the end over and forgets the call. */
+    void end(const ClaimCall &call, ClaimEnd end, Commands &commands);
     void log(const ClaimCall &call, std::string_view result, Commands &commands) const;
     ClaimRow rowFor(const ClaimCall &call) const;
 
--- a/tests/servers/claims/claim_world.cpp
+++ b/tests/servers/claims/claim_world.cpp
@@ -184,7 +184,8 @@
         return;
     }
     post(ProtocolStep::RequestArrives, node, node, milliseconds(2), [this, node, id] {
-        const ClaimRequest request { id, TeamName("team"), "key", 42, clock_.now() + Deadline };
+        callOf(id).deadline = clock_.now() + Deadline;
+        const ClaimRequest request { id, TeamName("team"), "key", 42, callOf(id).deadline };
         input(node, [&](ClaimSystem &claims, Commands &commands) { claims.lookUp(request, clock_.now(), commands); });
     });
 }
@@ -428,6 +429,9 @@
     input(node, [&](ClaimSystem &claims, Commands &commands) {
         allowed = claims.startDispatch(request, clock_.now(), commands);
     });
+    if (allowed && clock_.now() >= callOf(request).deadline) {
+        report_.violations.push_back("a call was dispatched after its deadline");
+    }
     if (!allowed && plan_.mistake != Mistake::DispatchesAbandoned) {
         tell(request, Outcome::NotRun, nullptr);
         return;
--- a/tests/servers/claims/claim_world.h
+++ b/tests/servers/claims/claim_world.h
@@ -153,6 +153,7 @@
         std::size_t node = 0;
         std::uint64_t sentAt = 0;
         std::uint64_t endedAt = UINT64_MAX;
+        TimePoint deadline {};
         bool ended = false;
         Outcome told = Outcome::Unknown;
     };
