--- a/development/demo/demo_site.cpp
+++ b/development/demo/demo_site.cpp
@@ -105,14 +105,14 @@
 
 const std::string &DemoSite::callerKey()
 {
-    static const std::string Key = "demo-caller-key";
-    return Key;
+    static const std::string key = "demo-caller-key";
+    return key;
 }
 
 const std::string &DemoSite::operatorKey()
 {
-    static const std::string Key = "demo-operator-key";
-    return Key;
+    static const std::string key = "demo-operator-key";
+    return key;
 }
 
 } // namespace GeraniumLever
--- a/main/node/admin_handler.cpp
+++ b/main/node/admin_handler.cpp
@@ -109,7 +109,7 @@
 
 } // namespace
 
-const AdminHandler::Route AdminHandler::Routes[] = {
+const AdminHandler::Route AdminHandler::routes[] = {
     { "GET", "/healthz", false, &AdminHandler::healthz },
     { "GET", "/readyz", false, &AdminHandler::readyz },
     { "GET", "/metrics", false, &AdminHandler::metrics },
@@ -133,7 +133,7 @@
 
 void AdminHandler::handle(const OperatorRequest &request, OperatorServer::Responder respond)
 {
-    for (const Route &route : Routes) {
+    for (const Route &route : routes) {
         const bool matches = route.prefix ? request.path.starts_with(route.path) : request.path == route.path;
         if (matches && request.method == route.method) {
             (this->*route.endpoint)(request, std::move(respond));
--- a/main/node/admin_handler.h
+++ b/main/node/admin_handler.h
@@ -43,7 +43,7 @@
         Endpoint endpoint;
     };
 
-    static const Route Routes[];
+    static const Route routes[];
 
     void healthz(const OperatorRequest &request, OperatorServer::Responder respond);
     void readyz(const OperatorRequest &request, OperatorServer::Responder respond);
--- a/main/node/decision_log.cpp
+++ b/main/node/decision_log.cpp
@@ -16,7 +16,6 @@
 {
     std::string line = formatDecision(decision);
     LOG(INFO) << line;
-    ++counts_[decision.kind];
     lines_.push_back(std::move(line));
     if (lines_.size() > KeptLines) {
         lines_.pop_front();
--- a/main/node/decision_log.h
+++ b/main/node/decision_log.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <deque>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -19,12 +18,8 @@
     /** At most the given number of lines, oldest first. */
     std::vector<std::string> last(std::size_t count) const;
 
-    /** Decisions so far by kind. */
-    const std::map<std::string, std::uint64_t> &counts() const { return counts_; }
-
 private:
     std::deque<std::string> lines_;
-    std::map<std::string, std::uint64_t> counts_;
 };
 
 /** The line without a trailing newline. */
--- a/main/node/entry_node.cpp
+++ b/main/node/entry_node.cpp
@@ -9,6 +9,7 @@
 #include "main/node/admin_handler.h"
 #include "main/node/decision_log.h"
 #include "main/node/node_logic.h"
+#include "main/node/node_metrics.h"
 #include "platform/http/http.h"
 #include "platform/mesh/mesh.h"
 #include "platform/store/store.h"
@@ -92,7 +93,7 @@
               [this](const RequestId &request, const TeamName &team, const std::string &key) {
                   ask(request, team, key);
               },
-              [this]() { return metricsText(); })
+              [this]() { return metrics.render(logic); })
         , operators(operatorSettingsOf(settings),
                     context,
                     [this](const OperatorRequest &request, OperatorServer::Responder respond) {
@@ -118,6 +119,9 @@
         while (!events.empty()) {
             const Event next = std::move(events.front());
             events.pop_front();
+            if (const StoreResult *result = std::get_if<StoreResult>(&next)) {
+                metrics.note(*result);
+            }
             Commands commands;
             logic.handle(next, clock.now(), commands);
             carryOut(commands);
@@ -196,7 +200,12 @@
     void run(const UpstreamCancel &command) { upstreams.cancel(command); }
     void run(const UpstreamReading &command) { upstreams.setReading(command); }
     void run(const UpstreamProbe &command) { upstreams.probe(command); }
-    void run(const PeerSend &command) { mesh.send(command.to, command.message); }
+    void run(const PeerSend &command)
+    {
+        metrics.note(command);
+        mesh.send(command.to, command.message);
+    }
+
     void run(const TableTransaction &command) { store.run(command); }
     void run(const TableGet &command) { store.run(command); }
     void run(const TableScan &command) { store.run(command); }
@@ -204,8 +213,13 @@
     void run(const ObjectGet &command) { store.run(command); }
     void run(const TicketVerdict &command) { admin.ticketDecided(command); }
     void run(const EngineOrder &command) { upstreams.order(command); }
-    void run(const Decision &command) { decisions.record(command); }
-    void run(const RequestMeasured &) { }
+    void run(const Decision &command)
+    {
+        metrics.note(command);
+        decisions.record(command);
+    }
+
+    void run(const RequestMeasured &command) { metrics.note(command); }
 
     void run(const StopCompleted &)
     {
@@ -213,20 +227,12 @@
         stopped();
     }
 
-    std::string metricsText() const
-    {
-        std::string text = "# TYPE geranium_decisions_total counter\n";
-        for (const auto &[kind, count] : decisions.counts()) {
-            text += "geranium_decisions_total{kind=\"" + kind + "\"} " + std::to_string(count) + "\n";
-        }
-        return text;
-    }
-
     NodeIdentity identity;
     std::function<void()> stopped;
     SteadyClock clock;
     NodeLogic logic;
     DecisionLog decisions;
+    NodeMetrics metrics;
     CallerServer callers;
     UpstreamClient upstreams;
     StoreClient store;
--- /dev/null
+++ b/main/node/node_metrics.cpp
@@ -0,0 +1,86 @@
+#include "main/node/node_metrics.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+const MetricFamily RequestsTotal { "geranium_requests_total", "Requests that got their final answer." };
+const MetricFamily FirstTokenSeconds { "geranium_first_token_seconds",
+                                       "Time from arrival to the first token or byte." };
+const MetricFamily RequestSeconds { "geranium_request_seconds", "Time from arrival to the final answer." };
+const MetricFamily TokensTotal { "geranium_tokens_total", "Tokens delivered to callers." };
+const MetricFamily WastedTokensTotal { "geranium_wasted_tokens_total",
+                                       "Tokens generated that nobody can use, by cause." };
+const MetricFamily AttemptsTotal { "geranium_attempts_total", "Attempts at upstreams." };
+const MetricFamily DecisionsTotal { "geranium_decisions_total", "Routing and placement decisions." };
+const MetricFamily StoreResultsTotal { "geranium_store_results_total",
+                                       "Results of the table service and object store." };
+const MetricFamily PeerMessagesTotal { "geranium_peer_messages_total", "Messages sent to other nodes." };
+const MetricFamily InFlight { "geranium_requests_in_flight", "Requests without a final answer." };
+const MetricFamily TicketHead { "geranium_ticket_head", "Number of the last change ticket in force." };
+const MetricFamily PeersAlive { "geranium_peers_alive", "Other nodes whose heartbeats arrive." };
+const MetricFamily Ready { "geranium_ready", "1 if the node takes requests." };
+
+const char *statusName(StoreStatus status)
+{
+    switch (status) {
+    case StoreStatus::Done:
+        return "done";
+    case StoreStatus::ConditionFailed:
+        return "condition_failed";
+    case StoreStatus::Unavailable:
+        return "unavailable";
+    case StoreStatus::Ambiguous:
+        return "ambiguous";
+    }
+    return "unavailable";
+}
+
+} // namespace
+
+void NodeMetrics::note(const RequestMeasured &measured)
+{
+    const MetricLabel requestClass { "class", measured.requestClass.text() };
+    const std::string code(resultCodeName(measured.code));
+    registry_
+        .counter(RequestsTotal,
+                 { requestClass, { "outcome", std::string(outcomeName(measured.outcome)) }, { "code", code } })
+        .add();
+    registry_.histogram(RequestSeconds, { requestClass }).record(measured.total);
+    if (measured.firstToken) {
+        registry_.histogram(FirstTokenSeconds, { requestClass }).record(*measured.firstToken);
+    }
+    registry_.counter(TokensTotal, { requestClass }).add(measured.tokens - measured.wastedTokens);
+    registry_.counter(WastedTokensTotal, { requestClass, { "cause", code } }).add(measured.wastedTokens);
+    registry_.counter(AttemptsTotal, { requestClass }).add(measured.attempts);
+}
+
+void NodeMetrics::note(const Decision &decision)
+{
+    registry_.counter(DecisionsTotal, { { "kind", decision.kind } }).add();
+}
+
+void NodeMetrics::note(const StoreResult &result)
+{
+    registry_.counter(StoreResultsTotal, { { "status", statusName(result.status) } }).add();
+}
+
+void NodeMetrics::note(const PeerSend &)
+{
+    registry_.counter(PeerMessagesTotal).add();
+}
+
+std::string NodeMetrics::render(const NodeLogic &logic)
+{
+    std::size_t alive = 0;
+    for (const auto &[name, peer] : logic.membership().peers()) {
+        alive += peer.alive ? 1 : 0;
+    }
+    registry_.gauge(InFlight).set(static_cast<double>(logic.inFlight()));
+    registry_.gauge(TicketHead).set(static_cast<double>(logic.tickets().standing().head.value()));
+    registry_.gauge(PeersAlive).set(static_cast<double>(alive));
+    registry_.gauge(Ready).set(logic.ready() ? 1 : 0);
+    return registry_.render();
+}
+
+} // namespace GeraniumLever
--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -420,17 +420,13 @@
         addField(decision, "upstream", result.upstream.text());
         addField(decision, "answers_anew", result.answered ? "true" : "false");
         commands.emplace_back(std::move(decision));
-        const std::size_t excluded = row.excluded.size();
         const Error cause { ResultCode::UpstreamTimeout, "the upstream fell silent", std::nullopt };
-        attemptLost(row, cause, now, commands);
-        RequestRow *kept = requests_.edit(id);
-        if (kept != nullptr && result.answered && kept->excluded.size() > excluded) {
-            kept->excluded.pop_back();
-        }
+        attemptLost(row, cause, now, commands, result.answered);
     }
 }
 
-void IngressSystem::attemptLost(RequestRow &row, const Error &cause, TimePoint now, Commands &commands)
+void IngressSystem::attemptLost(
+    RequestRow &row, const Error &cause, TimePoint now, Commands &commands, bool upstreamWell)
 {
     const RequestId request = row.call.request;
     if (!row.requestClass.idempotent) {
@@ -448,7 +444,7 @@
         completeCompletion(row, now, commands);
         return;
     }
-    if (!row.running.upstream.empty()) {
+    if (!upstreamWell && !row.running.upstream.empty()) {
         row.excluded.push_back(row.running.upstream);
     }
     seats_.end(row, AttemptEnding::Lost, 0, commands);
--- a/servers/ingress/ingress_system.h
+++ b/servers/ingress/ingress_system.h
@@ -62,7 +62,8 @@
     bool forward(RequestRow &row, TimePoint now, Commands &commands);
     void dispatch(RequestRow &row, TimePoint now, Commands &commands);
     void retry(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
-    void attemptLost(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
+    /** upstreamWell: true if only the connection was lost, so that the same upstream may be asked again. */
+    void attemptLost(RequestRow &row, const Error &cause, TimePoint now, Commands &commands, bool upstreamWell = false);
     void takeCompletionEvent(RequestRow &row, const std::string &data, TimePoint now, Commands &commands);
     void noteFirstToken(RequestRow &row, TimePoint now, Commands &commands);
 
