--- a/servers/scheduling/answers.cpp
+++ b/servers/scheduling/answers.cpp
@@ -63,7 +63,7 @@
     attempt.guaranteed = reason == GuaranteeReason;
     const UpstreamState &upstream = *state.upstreams.find(choice.upstream);
     attempt.batchSize = upstream.inFlight + 1;
-    attempt.prefillAhead = upstream.pendingPrefill;
+    attempt.prefillAhead = upstream.prefillBefore(attempt.tier);
     if (const RequestClass *requestClass = state.classOf(attempt.requestClass); requestClass != nullptr) {
         attempt.preemptible = requestClass->preemptible;
         state.guarantees.noteGrant(*requestClass, waitingNow);
--- a/servers/scheduling/length_estimator.cpp
+++ b/servers/scheduling/length_estimator.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-/** Factor of one step. */
-constexpr double Step = 1.05;
-
-/** Samples over which larger first steps shrink to the lasting one. */
-constexpr std::uint64_t SettlingSamples = 10;
-
 /** Samples of a team before its own median is used. */
 constexpr std::uint64_t MinTeamSamples = 5;
 
@@ -21,18 +15,6 @@
 
 } // namespace
 
-void RunningMedian::add(double sample)
-{
-    ++samples_;
-    if (samples_ == 1) {
-        value_ = std::max(sample, 1.0);
-        return;
-    }
-    const double settling = samples_ < SettlingSamples ? 4.0 : 1.0;
-    const double factor = 1.0 + (Step - 1.0) * settling;
-    value_ = sample > value_ ? value_ * factor : std::max(value_ / factor, 1.0);
-}
-
 void LengthEstimator::note(const ClassName &requestClass, const TeamName &team, std::uint32_t tokens)
 {
     byClass_[requestClass].add(tokens);
@@ -53,19 +35,19 @@
         counts.begin() + static_cast<std::vector<std::uint64_t>::difference_type>(counts.size() / 2);
     std::nth_element(counts.begin(), middle, counts.end());
     const std::uint64_t limit = *middle;
-    std::erase_if(byTeam_, [limit](const std::pair<const std::pair<ClassName, TeamName>, RunningMedian> &entry) {
+    std::erase_if(byTeam_, [limit](const std::pair<const std::pair<ClassName, TeamName>, RunningQuantile> &entry) {
         return entry.second.samples() <= limit;
     });
 }
 
 std::optional<double> LengthEstimator::median(const ClassName &requestClass, const TeamName &team) const
 {
-    const std::map<std::pair<ClassName, TeamName>, RunningMedian>::const_iterator own =
+    const std::map<std::pair<ClassName, TeamName>, RunningQuantile>::const_iterator own =
         byTeam_.find({ requestClass, team });
     if (own != byTeam_.end() && own->second.samples() >= MinTeamSamples) {
         return own->second.value();
     }
-    const std::map<ClassName, RunningMedian>::const_iterator all = byClass_.find(requestClass);
+    const std::map<ClassName, RunningQuantile>::const_iterator all = byClass_.find(requestClass);
     if (all == byClass_.end()) {
         return std::nullopt;
     }
--- a/servers/scheduling/length_estimator.h
+++ b/servers/scheduling/length_estimator.h
@@ -6,23 +6,12 @@
 #include <optional>
 #include <utility>
 
+#include "servers/scheduling/running_quantile.h"
+
 #include "core/core.h"
 
 namespace GeraniumLever {
 
-/** A median that follows its samples by small multiplicative steps. */
-class RunningMedian
-{
-public:
-    void add(double sample);
-    double value() const { return value_; }
-    std::uint64_t samples() const { return samples_; }
-
-private:
-    double value_ = 0.0;
-    std::uint64_t samples_ = 0;
-};
-
 class LengthEstimator
 {
 public:
@@ -35,8 +24,8 @@
 private:
     void dropRarest();
 
-    std::map<std::pair<ClassName, TeamName>, RunningMedian> byTeam_;
-    std::map<ClassName, RunningMedian> byClass_;
+    std::map<std::pair<ClassName, TeamName>, RunningQuantile> byTeam_;
+    std::map<ClassName, RunningQuantile> byClass_;
 };
 
 } // namespace GeraniumLever
--- /dev/null
+++ b/servers/scheduling/running_quantile.cpp
@@ -0,0 +1,31 @@
+#include "servers/scheduling/running_quantile.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Logarithm of the factor between the values after a larger and after a smaller sample. */
+constexpr double Step = 0.1;
+
+/** Samples over which larger first steps shrink to the lasting one. */
+constexpr std::uint64_t SettlingSamples = 10;
+constexpr double SettlingFactor = 4.0;
+
+} // namespace
+
+void RunningQuantile::add(double sample)
+{
+    ++samples_;
+    if (samples_ == 1) {
+        value_ = std::max(sample, 1.0);
+        return;
+    }
+    const double step = samples_ < SettlingSamples ? Step * SettlingFactor : Step;
+    const double exponent = sample > value_ ? step * quantile_ : -step * (1.0 - quantile_);
+    value_ = std::max(1.0, value_ * std::exp(exponent));
+}
+
+} // namespace GeraniumLever
--- a/servers/scheduling/seats.cpp
+++ b/servers/scheduling/seats.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /** Up to this slowness an upstream keeps all of its seats. */
-constexpr double ToleratedSlowness = 1.25;
+constexpr double ToleratedSlowness = 1.5;
 
 /** A report older than this no longer corrects the own count. */
 constexpr Duration ReportLifetime = std::chrono::seconds(15);
--- a/servers/scheduling/shard_state.cpp
+++ b/servers/scheduling/shard_state.cpp
@@ -10,7 +10,7 @@
     if (UpstreamState *upstream = upstreams.edit(attempt.upstream); upstream != nullptr) {
         ++upstream->inFlight;
         upstream->inFlightPeak.note(upstream->inFlight, now);
-        upstream->pendingPrefill += attempt.firstToken ? 0 : attempt.uncachedTokens;
+        upstream->pendingPrefill[attempt.tier] += attempt.firstToken ? 0 : attempt.uncachedTokens;
     }
     pausing += attempt.pausing ? 1 : 0;
     running.add(std::move(attempt));
@@ -37,7 +37,8 @@
 void ShardState::finishPrefill(const RunningAttempt &attempt)
 {
     if (UpstreamState *upstream = upstreams.edit(attempt.upstream); upstream != nullptr) {
-        upstream->pendingPrefill -= std::min<std::uint64_t>(upstream->pendingPrefill, attempt.uncachedTokens);
+        std::uint64_t &pending = upstream->pendingPrefill[attempt.tier];
+        pending -= std::min<std::uint64_t>(pending, attempt.uncachedTokens);
     }
 }
 
--- a/servers/scheduling/speed_model.cpp
+++ b/servers/scheduling/speed_model.cpp
@@ -97,39 +97,28 @@
     return fromSeconds(line_.at(batchSize) * (own ? measured->gapRatio.value() : 1.0));
 }
 
-double SpeedModel::medianOf(double (*value)(const Measured &), std::uint64_t (*samples)(const Measured &)) const
+double SpeedModel::medianGapRatio() const
 {
-    std::vector<double> values;
+    std::vector<double> ratios;
     for (const auto &[name, measured] : upstreams_) {
-        if (samples(measured) >= MinSamples) {
-            values.push_back(value(measured));
+        if (measured.gapRatio.samples() >= MinSamples) {
+            ratios.push_back(measured.gapRatio.value());
         }
     }
-    if (values.empty()) {
-        return 0.0;
+    if (ratios.empty()) {
+        return 1.0;
     }
-    std::sort(values.begin(), values.end());
-    return values[(values.size() - 1) / 2];
+    std::sort(ratios.begin(), ratios.end());
+    return ratios[(ratios.size() - 1) / 2];
 }
 
 double SpeedModel::slowness(const UpstreamName &upstream) const
 {
     const Measured *measured = upstreams_.find(upstream);
-    if (measured == nullptr) {
+    if (measured == nullptr || measured->gapRatio.samples() < MinSamples) {
         return 1.0;
     }
-    double slowness = 1.0;
-    if (measured->gapRatio.samples() >= MinSamples) {
-        const double median = medianOf([](const Measured &row) { return row.gapRatio.value(); },
-                                       [](const Measured &row) { return row.gapRatio.samples(); });
-        slowness = std::max(slowness, measured->gapRatio.value() / median);
-    }
-    if (measured->prefillRate.samples() >= MinSamples) {
-        const double median = medianOf([](const Measured &row) { return 1.0 / row.prefillRate.value(); },
-                                       [](const Measured &row) { return row.prefillRate.samples(); });
-        slowness = std::max(slowness, 1.0 / (measured->prefillRate.value() * median));
-    }
-    return slowness;
+    return std::max(1.0, measured->gapRatio.value() / medianGapRatio());
 }
 
 void SpeedModel::forget(const UpstreamName &upstream)
--- a/servers/scheduling/speed_model.h
+++ b/servers/scheduling/speed_model.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "servers/scheduling/moving_average.h"
+#include "servers/scheduling/running_quantile.h"
 
 #include "core/core.h"
 
@@ -26,7 +27,7 @@
     /** Expected gap between tokens at a batch size; nothing as long as none has been measured. */
     std::optional<Duration> gapAt(const UpstreamName &upstream, std::uint32_t batchSize) const;
 
-    /** How many times slower than the shard's median the upstream is; 1 if it has too few samples. */
+    /** How many times slower between tokens than the shard's median the upstream is; 1 if it has too few samples. */
     double slowness(const UpstreamName &upstream) const;
 
     /** Forgets what was measured of the upstream's slowness, for example after a restart. */
@@ -42,8 +43,8 @@
 private:
     struct Measured
     {
-        /** Prompt tokens per second. */
-        MovingAverage prefillRate { 0.1 };
+        /** Prompt tokens per second. Work of higher tiers only delays a prefill, so that the larger samples count. */
+        RunningQuantile prefillRate { 0.8 };
         /** Observed gap divided by the one that the shard's line predicts for the batch size. */
         MovingAverage gapRatio { 0.15 };
     };
@@ -61,10 +62,10 @@
         double at(double batch) const;
     };
 
-    double medianOf(double (*value)(const Measured &), std::uint64_t (*samples)(const Measured &)) const;
+    double medianGapRatio() const;
 
     Table<UpstreamName, Measured> upstreams_;
-    MovingAverage shardPrefillRate_ { 0.02 };
+    RunningQuantile shardPrefillRate_ { 0.8 };
     GapLine line_;
 };
 
--- a/servers/scheduling/upstream_choice.cpp
+++ b/servers/scheduling/upstream_choice.cpp
@@ -33,7 +33,9 @@
 {
     UpstreamChoice choice { upstream.name, uncachedTokens(state, request, upstream.name), 0.0 };
     if (const std::optional<double> rate = state.speeds.prefillRate(upstream.name); rate) {
-        choice.expectedFirstToken += static_cast<double>(upstream.pendingPrefill + choice.uncachedTokens) / *rate;
+        const RequestClass *requestClass = state.classOf(request.requestClass);
+        const std::uint64_t before = upstream.prefillBefore(requestClass == nullptr ? 0 : requestClass->tier);
+        choice.expectedFirstToken += static_cast<double>(before + choice.uncachedTokens) / *rate;
     }
     if (const std::optional<Duration> gap = state.speeds.gapAt(upstream.name, upstream.inFlight + 1); gap) {
         choice.expectedFirstToken += std::chrono::duration<double>(*gap).count();
--- a/servers/scheduling/upstream_state.h
+++ b/servers/scheduling/upstream_state.h
@@ -1,6 +1,8 @@
 /** Entity of a shard's upstream table: everything that decides whether an upstream may get a new attempt. */
 #pragma once
 
+#include <map>
+
 #include "servers/scheduling/peak_window.h"
 
 #include "core/core.h"
@@ -25,8 +27,8 @@
     std::uint32_t inFlight = 0;
     /** The number of attempts that held a seat in the last seconds, which a lagging report may still show. */
     PeakWindow inFlightPeak;
-    /** Prompt tokens that it still has to compute, as estimated. */
-    std::uint64_t pendingPrefill = 0;
+    /** Prompt tokens that it still has to compute by tier, as estimated. */
+    std::map<std::uint32_t, std::uint64_t> pendingPrefill;
     /** Requests in the last load report. */
     std::uint32_t reported = 0;
     TimePoint reportedAt;
@@ -41,6 +43,16 @@
     bool ejected = false;
     TimePoint nextProbe;
 
+    /** Prompt tokens that it computes before those of a new attempt of the tier, since engines honour priorities. */
+    std::uint64_t prefillBefore(std::uint32_t tier) const
+    {
+        std::uint64_t tokens = 0;
+        for (const auto &[other, pending] : pendingPrefill) {
+            tokens += other <= tier ? pending : 0;
+        }
+        return tokens;
+    }
+
     /** True if nothing but its speed and failures keeps it from getting new attempts. */
     bool open() const { return !leavingByCatalog && !leavingByNotice && ready && !held; }
 
