Serve requests that can still meet their target before late ones

Cause: at an overload of three times, earliest deadline first gave the seats to requests that had waited past their target, so that nearly none met it; paused streams were even refused after part of their answer was generated. A class now has three groups: resumed, on time, late. A request that can be served neither on time nor late is refused when that is known.

--- a/servers/scheduling/grant_system.cpp
+++ b/servers/scheduling/grant_system.cpp
@@ -1,6 +1,7 @@
 #include "servers/scheduling/grant_system.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "servers/scheduling/answers.h"
 #include "servers/scheduling/seats.h"
@@ -80,13 +81,13 @@
     return state.queue.oldestOf(rank)->arrived + target;
 }
 
-/** Classes in the order of service: by tier, within a tier the one whose target is next. */
+/** Classes in the order of service: by tier and group, within these the one whose target is next. */
 std::vector<ClassRank> orderOfService(const ShardState &state)
 {
     std::vector<ClassRank> ranks = state.queue.ranks();
     std::stable_sort(ranks.begin(), ranks.end(), [&state](const ClassRank &first, const ClassRank &second) {
-        if (first.tier != second.tier) {
-            return first.tier < second.tier;
+        if (std::tie(first.tier, first.group) != std::tie(second.tier, second.group)) {
+            return std::tie(first.tier, first.group) < std::tie(second.tier, second.group);
         }
         return targetTimeOf(state, first) < targetTimeOf(state, second);
     });
--- a/servers/scheduling/preemption_system.cpp
+++ b/servers/scheduling/preemption_system.cpp
@@ -53,12 +53,9 @@
 }
 
 /** Seconds that the request can still wait for a seat. */
-double slackOf(const ShardState &state, const WaitingRequest &waiting, const RequestClass &requestClass, TimePoint now)
+double slackOf(const WaitingRequest &waiting, TimePoint now)
 {
-    const double rate = state.speeds.prefillRate(UpstreamName()).value_or(0.0);
-    const double prefill = rate > 0.0 ? waiting.request.promptTokens / rate : 0.0;
-    const TimePoint latest = std::min(waiting.arrived + requestClass.firstTokenTarget, waiting.deadline);
-    return std::chrono::duration<double>(latest - now).count() - prefill;
+    return std::chrono::duration<double>(std::min(waiting.lateFrom, waiting.deadline) - now).count();
 }
 
 void pause(ShardState &state, AttemptId id, const WaitingRequest &waiting, TimePoint now, Commands &commands)
@@ -82,10 +79,6 @@
     std::uint32_t coming = state.pausing + state.pausedSeats;
     std::uint32_t position = 0;
     for (const ClassRank &rank : state.queue.ranks()) {
-        const RequestClass *requestClass = state.classOf(rank.name);
-        if (requestClass == nullptr) {
-            continue;
-        }
         for (const RequestId &id : state.queue.candidates(rank, MaxUrgent)) {
             const WaitingRequest &waiting = *state.queue.find(id);
             ++position;
@@ -93,7 +86,7 @@
                 continue;
             }
             const double wait = release > 0.0 ? (position - coming) / release : 0.0;
-            const double slack = slackOf(state, waiting, *requestClass, now);
+            const double slack = slackOf(waiting, now);
             if (slack > 0.0 && wait <= slack) {
                 continue;
             }
--- a/servers/scheduling/shard_scheduler.cpp
+++ b/servers/scheduling/shard_scheduler.cpp
@@ -99,18 +99,27 @@
     if (answeredByRunning(from, request, now, commands) || !admit(from, request, now, commands)) {
         return;
     }
-    const std::uint32_t tier = state_.classOf(request.requestClass)->tier;
+    const WaitingRequest waiting = makeWaiting(from, request, now);
+    const ClassRank rank { waiting.tier, waiting.group, request.requestClass };
+    state_.queue.push(waiting);
+    schedule(now, commands);
+    shedUnreachableOf(state_, rank, request.team, now, commands);
+}
+
+WaitingRequest ShardScheduler::makeWaiting(const NodeName &from, const SlotRequest &request, TimePoint now)
+{
+    const RequestClass &requestClass = *state_.classOf(request.requestClass);
     WaitingRequest waiting;
     waiting.request = request;
     waiting.from = from;
     waiting.arrived = now;
     waiting.deadline = now + request.timeLeft;
+    waiting.group = request.deliveredTokens > 0 ? ServiceGroup::Resumed : ServiceGroup::OnTime;
+    waiting.lateFrom = now + lastChance(state_, request, requestClass);
     waiting.sequence = ++state_.sequence;
-    waiting.tier = tier;
+    waiting.tier = requestClass.tier;
     waiting.weight = state_.weightOf(request.team);
-    state_.queue.push(std::move(waiting));
-    schedule(now, commands);
-    shedUnreachableOf(state_, ClassRank { tier, request.requestClass }, request.team, now, commands);
+    return waiting;
 }
 
 void ShardScheduler::slotCancelled(const SlotCancel &cancel, TimePoint now, Commands &commands)
@@ -222,6 +231,7 @@
         reclassify(now, commands);
         refuseUnplaceable(now, commands);
     }
+    state_.queue.demoteLate(now);
     refuseExpired(state_, now, commands);
     if (now >= nextReview_) {
         nextReview_ = now + ReviewInterval;
@@ -296,7 +306,7 @@
         if (summary.waitByTier.size() <= requestClass.tier) {
             summary.waitByTier.resize(requestClass.tier + 1);
         }
-        const ClassRank rank { requestClass.tier, name };
+        const ClassRank rank { requestClass.tier, ServiceGroup::OnTime, name };
         const std::optional<double> seconds = expectedWait(state_, rank, state_.queue.sizeOf(rank) + 1, now);
         const Duration wait = free > state_.queue.size()
             ? Duration(0)
--- a/servers/scheduling/shard_scheduler.h
+++ b/servers/scheduling/shard_scheduler.h
@@ -40,6 +40,7 @@
 private:
     bool answeredByRunning(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
     bool admit(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
+    WaitingRequest makeWaiting(const NodeName &from, const SlotRequest &request, TimePoint now);
     void schedule(TimePoint now, Commands &commands);
     void reclassify(TimePoint now, Commands &commands);
     void refuseUnplaceable(TimePoint now, Commands &commands);
--- a/servers/scheduling/shedding_system.cpp
+++ b/servers/scheduling/shedding_system.cpp
@@ -10,15 +10,37 @@
 /** Most requests that wait in one shard. */
 constexpr std::size_t MaxWaiting = 10000;
 
+bool fits(const std::optional<double> &wait, TimePoint latest, TimePoint now)
+{
+    return !wait || *wait <= std::chrono::duration<double>(latest - now).count();
+}
+
+/** True if the last request of a team can get a seat before its deadline, on time or late. */
+bool isReachable(const ShardState &state, const ClassRank &rank, const WaitingRequest &last, TimePoint now)
+{
+    const std::size_t ahead = state.queue.expectedAhead(rank, last.request.team);
+    const bool late = rank.group == ServiceGroup::Late;
+    if (fits(expectedWait(state, rank, ahead, now), late ? last.deadline : last.lateFrom, now)) {
+        return true;
+    }
+    if (late) {
+        return false;
+    }
+    const ClassRank lateRank { rank.tier, ServiceGroup::Late, rank.name };
+    return fits(expectedWait(state, lateRank, state.queue.sizeOf(lateRank), now), last.deadline, now);
+}
+
 } // namespace
 
 void shedUnreachableOf(
     ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands)
 {
+    if (rank.group == ServiceGroup::Resumed) {
+        // To refuse these would waste the part of the answer that has been generated.
+        return;
+    }
     while (const WaitingRequest *last = state.queue.lastOf(rank, team)) {
-        const std::size_t ahead = state.queue.expectedAhead(rank, team);
-        const std::optional<double> wait = expectedWait(state, rank, ahead, now);
-        if (!wait || *wait <= std::chrono::duration<double>(last->deadline - now).count()) {
+        if (isReachable(state, rank, *last, now)) {
             return;
         }
         refuse(state, last->request.request, ResultCode::Shed, now, commands);
--- a/servers/scheduling/wait_estimate.cpp
+++ b/servers/scheduling/wait_estimate.cpp
@@ -1,6 +1,7 @@
 #include "servers/scheduling/wait_estimate.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "servers/scheduling/seats.h"
 
@@ -20,9 +21,38 @@
 /** Spread of Retry-After, so that refused callers do not return together. */
 constexpr double RetryAfterJitter = 0.25;
 
+/** The part of a target that is kept as a margin for what the estimates leave out. */
+constexpr Duration::rep TargetMargin = 10;
+
 /** Grant rates below this are no measurement. */
 constexpr double MinGrantRate = 0.01;
 
+/** Seat time in seconds of everything that waits and is served before the class's group. */
+double workBefore(const ShardState &state, const ClassRank &rank)
+{
+    double work = 0.0;
+    for (const ClassRank &other : state.queue.ranks()) {
+        const bool before = std::tie(other.tier, other.group) <= std::tie(rank.tier, rank.group) && other != rank;
+        const double seconds = state.classes.seatSeconds(other.name).value_or(0.0);
+        work += before ? static_cast<double>(state.queue.sizeOf(other)) * seconds : 0.0;
+    }
+    return work;
+}
+
+/** Seats that arrivals to come will claim before the class's group: those of higher tiers, and of the own tier as well
+ * if the group is the last one. */
+double claimedSeats(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    double claimed = 0.0;
+    for (const auto &[name, requestClass] : state.catalog->classes()) {
+        const bool before =
+            requestClass.tier < rank.tier || (requestClass.tier == rank.tier && rank.group == ServiceGroup::Late);
+        const double seconds = state.classes.seatSeconds(name).value_or(0.0);
+        claimed += before ? state.classes.arrivalRate(name, now) * seconds : 0.0;
+    }
+    return claimed;
+}
+
 } // namespace
 
 std::optional<double> expectedWait(const ShardState &state, const ClassRank &rank, std::size_t ahead, TimePoint now)
@@ -32,19 +62,20 @@
     if (!own || seats == 0.0) {
         return std::nullopt;
     }
-    double work = static_cast<double>(ahead) * *own;
-    double claimed = 0.0;
-    for (const auto &[name, requestClass] : state.catalog->classes()) {
-        if (requestClass.tier >= rank.tier) {
-            continue;
-        }
-        const double seconds = state.classes.seatSeconds(name).value_or(0.0);
-        work += static_cast<double>(state.queue.sizeOf({ requestClass.tier, name })) * seconds;
-        claimed += state.classes.arrivalRate(name, now) * seconds / seats;
-    }
+    const double work = static_cast<double>(ahead) * *own + workBefore(state, rank);
+    const double claimed = claimedSeats(state, rank, now) / seats;
     return work / (seats * (1.0 - std::min(claimed, MaxClaimedShare)));
 }
 
+Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass)
+{
+    const double rate = state.speeds.prefillRate(UpstreamName()).value_or(0.0);
+    const double prefillSeconds = rate > 0.0 ? request.promptTokens / rate : 0.0;
+    const Duration prefill = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(prefillSeconds));
+    return std::max(Duration(0),
+                    requestClass.firstTokenTarget - prefill - requestClass.firstTokenTarget / TargetMargin);
+}
+
 double releaseRate(const ShardState &state)
 {
     double rate = 0.0;
@@ -62,7 +93,7 @@
     if (rate >= MinGrantRate) {
         const RequestClass *row = state.classOf(requestClass);
         const std::uint32_t tier = row == nullptr ? 0 : row->tier;
-        const double waiting = static_cast<double>(state.queue.sizeOf({ tier, requestClass })) + 1.0;
+        const double waiting = static_cast<double>(state.queue.sizeOfClass(tier, requestClass)) + 1.0;
         wait = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(waiting / rate));
     }
     return state.issuer.random().jittered(std::clamp(wait, MinRetryAfter, MaxRetryAfter), RetryAfterJitter);
--- a/servers/scheduling/waiting_queue.cpp
+++ b/servers/scheduling/waiting_queue.cpp
@@ -13,7 +13,7 @@
 
 ClassRank WaitingQueue::rankOf(const WaitingRequest &waiting)
 {
-    return ClassRank { waiting.tier, waiting.request.requestClass };
+    return ClassRank { waiting.tier, waiting.group, waiting.request.requestClass };
 }
 
 void WaitingQueue::push(WaitingRequest waiting)
@@ -36,6 +36,9 @@
     team.requests.emplace(key, id);
     queue.byArrival.emplace(waiting.sequence, id);
     deadlines_.emplace(key, id);
+    if (waiting.group == ServiceGroup::OnTime) {
+        lateTimes_.emplace(DeadlineKey { waiting.lateFrom, waiting.sequence }, id);
+    }
     arrivals_.emplace(waiting.sequence, id);
     requests_.emplace(id, std::move(waiting));
 }
@@ -59,6 +62,7 @@
     }
     queue.byArrival.erase(waiting.sequence);
     deadlines_.erase(key);
+    lateTimes_.erase({ waiting.lateFrom, waiting.sequence });
     arrivals_.erase(waiting.sequence);
 }
 
@@ -103,6 +107,15 @@
     });
 }
 
+void WaitingQueue::demoteLate(TimePoint now)
+{
+    while (!lateTimes_.empty() && lateTimes_.begin()->first.first <= now) {
+        WaitingRequest waiting = *find(lateTimes_.begin()->second);
+        waiting.group = ServiceGroup::Late;
+        push(std::move(waiting));
+    }
+}
+
 std::vector<ClassRank> WaitingQueue::ranks() const
 {
     std::vector<ClassRank> ranks;
@@ -144,6 +157,12 @@
     return queue == classes_.end() ? 0 : queue->second.byArrival.size();
 }
 
+std::size_t WaitingQueue::sizeOfClass(std::uint32_t tier, const ClassName &name) const
+{
+    return sizeOf({ tier, ServiceGroup::Resumed, name }) + sizeOf({ tier, ServiceGroup::OnTime, name })
+        + sizeOf({ tier, ServiceGroup::Late, name });
+}
+
 const WaitingRequest *WaitingQueue::newestOf(const ClassRank &rank) const
 {
     const std::map<ClassRank, ClassQueue>::const_iterator queue = classes_.find(rank);
--- a/servers/scheduling/waiting_queue.h
+++ b/servers/scheduling/waiting_queue.h
@@ -14,10 +14,11 @@
 
 namespace GeraniumLever {
 
-/** A class in the order in which tiers are served. */
+/** The requests of a class that are in one group, in the order of service. */
 struct ClassRank
 {
     std::uint32_t tier = 0;
+    ServiceGroup group = ServiceGroup::OnTime;
     ClassName name;
 
     auto operator<=>(const ClassRank &) const = default;
@@ -39,15 +40,21 @@
     /** Removes a request that gets a seat, and charges its team with cost / weight. */
     WaitingRequest take(RequestId request, double cost, std::uint32_t weight);
 
-    /** Classes with waiting requests, highest tier first. */
+    /** Moves the requests that have become late behind those that are on time. */
+    void demoteLate(TimePoint now);
+
+    /** Classes and groups with waiting requests, highest tier first. */
     std::vector<ClassRank> ranks() const;
 
     /** Up to limit requests of a class in the order of service, the first of each team before any second. */
     std::vector<RequestId> candidates(const ClassRank &rank, std::size_t limit) const;
 
-    /** Number of waiting requests of a class. */
+    /** Number of waiting requests of a class in one group. */
     std::size_t sizeOf(const ClassRank &rank) const;
 
+    /** Number of waiting requests of a class in all groups. */
+    std::size_t sizeOfClass(std::uint32_t tier, const ClassName &name) const;
+
     /** The request of a class that arrived last, or nullptr. */
     const WaitingRequest *newestOf(const ClassRank &rank) const;
 
@@ -109,6 +116,8 @@
     std::unordered_map<RequestId, WaitingRequest> requests_;
     std::map<ClassRank, ClassQueue> classes_;
     std::map<DeadlineKey, RequestId> deadlines_;
+    /** Requests that are on time, by the time when they become late. */
+    std::map<DeadlineKey, RequestId> lateTimes_;
     std::map<std::uint64_t, RequestId> arrivals_;
 };
 
--- a/tests/servers/scheduling/waiting_queue_test.cpp
+++ b/tests/servers/scheduling/waiting_queue_test.cpp
@@ -16,11 +16,12 @@
     waiting.tier = tier;
     waiting.sequence = number;
     waiting.arrived = Start;
+    waiting.lateFrom = Start + std::chrono::seconds(60);
     waiting.deadline = Start + std::chrono::seconds(deadlineSeconds);
     return waiting;
 }
 
-const ClassRank liveRank { 0, ClassName("class0") };
+const ClassRank liveRank { 0, ServiceGroup::OnTime, ClassName("class0") };
 
 TEST(WaitingQueueTest, ServesTeamsByWeight)
 {
@@ -66,6 +67,17 @@
     EXPECT_EQ(queue.expired(Start + std::chrono::seconds(3)), (std::vector<RequestId> { RequestId(1, 2) }));
 }
 
+TEST(WaitingQueueTest, LateRequestsGoBehindThoseOnTime)
+{
+    WaitingQueue queue;
+    queue.push(waitingOf(1, "t", 0, 100));
+    queue.demoteLate(Start + std::chrono::seconds(60));
+    queue.push(waitingOf(2, "t", 0, 100));
+    ASSERT_EQ(queue.ranks().size(), 2U);
+    EXPECT_EQ(queue.candidates(queue.ranks().front(), 1).front(), RequestId(1, 2));
+    EXPECT_EQ(queue.sizeOfClass(0, liveRank.name), 2U);
+}
+
 TEST(WaitingQueueTest, NewestOfLowestIsTheLastArrivalOfTheLowestTier)
 {
     WaitingQueue queue;
