--- a/servers/tickets/ticket_peers.cpp
+++ b/servers/tickets/ticket_peers.cpp
@@ -25,8 +25,9 @@
     if (heartbeat.node == self_ || contradicts(heartbeat.storeEpoch, heartbeat.node, now, commands)) {
         return;
     }
-    if (heartbeat.state != NodeState::Starting && !firstReadyHeard_.has_value()) {
-        firstReadyHeard_ = now;
+    if (heartbeat.state != NodeState::Starting) {
+        firstReadyHeard_ = readyPeersSince(now).value_or(now);
+        lastReadyHeard_ = now;
     }
     standings_.put(heartbeat.node, Standing { heartbeat.ticketHead, heartbeat.catalogDigest, now });
     forgetSilent(now);
@@ -105,6 +106,11 @@
     repairDigest_.reset();
 }
 
+std::optional<TimePoint> TicketPeers::readyPeersSince(TimePoint now) const
+{
+    return now - lastReadyHeard_ <= StandingLifetime ? firstReadyHeard_ : std::nullopt;
+}
+
 void TicketPeers::tick(bool push, const std::vector<NodeName> &pushTo, Commands &commands)
 {
     const TicketNumber head = applier_.chain().head();
--- a/servers/tickets/ticket_peers.h
+++ b/servers/tickets/ticket_peers.h
@@ -27,8 +27,8 @@
     /** The highest head that a peer of the same epoch has told. */
     TicketNumber highestHeard() const { return highestHeard_; }
 
-    /** When a peer that takes requests was first heard; nothing if none was. */
-    std::optional<TimePoint> firstReadyHeard() const { return firstReadyHeard_; }
+    /** Since when peers that take requests have been heard without a break; nothing if none is heard now. */
+    std::optional<TimePoint> readyPeersSince(TimePoint now) const;
 
     /** When the epoch of a peer last contradicted the own one; nothing if none did. */
     std::optional<TimePoint> lastEpochMismatch() const { return lastEpochMismatch_; }
@@ -62,6 +62,7 @@
     std::optional<Fetch> fetch_;
     TicketNumber highestHeard_;
     std::optional<TimePoint> firstReadyHeard_;
+    TimePoint lastReadyHeard_;
     std::optional<TimePoint> lastEpochMismatch_;
     /** The digest that a snapshot asked for as a repair must have. */
     std::optional<std::uint64_t> repairDigest_;
--- a/servers/tickets/ticket_submitter.cpp
+++ b/servers/tickets/ticket_submitter.cpp
@@ -19,7 +19,9 @@
 
 Error storeUnavailable(const std::string &reason)
 {
-    return Error { ResultCode::TicketStoreUnavailable, reason + "; the ticket is not accepted", RetryAfter };
+    return Error { ResultCode::TicketStoreUnavailable,
+                   reason + "; this attempt has not accepted the ticket",
+                   RetryAfter };
 }
 
 Error outcomeOpen()
--- a/servers/tickets/ticket_system.cpp
+++ b/servers/tickets/ticket_system.cpp
@@ -13,6 +13,8 @@
 
 /** Time in which every live peer sends a heartbeat, so that the highest head is known. */
 constexpr Duration PeersSettled = std::chrono::seconds(2);
+/** With the table service out of reach, peers must be heard for longer than one that is gone still counts as heard. */
+constexpr Duration PeersSettledAlone = std::chrono::seconds(4);
 /** A contradicting epoch of a peer keeps a starting node from taking requests for this long. */
 constexpr Duration EpochMismatchHold = std::chrono::seconds(10);
 constexpr Duration NotReadyLogPeriod = std::chrono::seconds(10);
@@ -54,8 +56,8 @@
         // An empty table is believed only after peers have had time to say otherwise.
         return highest > TicketNumber() || now - *started >= PeersSettled;
     }
-    const std::optional<TimePoint> heard = peers.firstReadyHeard();
-    return follower.failed() && heard.has_value() && now - *heard >= PeersSettled;
+    const std::optional<TimePoint> heard = peers.readyPeersSince(now);
+    return follower.failed() && heard.has_value() && now - *heard >= PeersSettledAlone;
 }
 
 void TicketSystem::State::updateCaughtUp(TimePoint now, Commands &commands)
