Keep headroom for higher tiers before granting long work

Cause: long attempts took every seat that was free for a moment, and were paused when the higher tiers' demand swung back; their prompts were computed again. A class whose attempts last longer than those of the tiers above it now leaves them one standard deviation of their measured demand.

--- a/servers/scheduling/grant_system.cpp
+++ b/servers/scheduling/grant_system.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "servers/scheduling/answers.h"
+#include "servers/scheduling/headroom.h"
 #include "servers/scheduling/seats.h"
 
 namespace GeraniumLever {
@@ -96,7 +97,17 @@
 
 std::optional<Placement> placeByTier(const ShardState &state, const std::vector<ClassRank> &ranks, TimePoint now)
 {
+    const std::uint32_t free = freeSeatsOfShard(state, now);
+    std::optional<std::uint32_t> blockedTier;
     for (const ClassRank &rank : ranks) {
+        if (blockedTier && rank.tier > *blockedTier) {
+            // What a tier leaves to those above it is not for those below it.
+            return std::nullopt;
+        }
+        if (free <= headroomAbove(state, rank, now)) {
+            blockedTier = rank.tier;
+            continue;
+        }
         if (std::optional<Placement> placement = placeFirst(state, rank, TierOrderReason, now); placement) {
             return placement;
         }
--- /dev/null
+++ b/servers/scheduling/headroom.cpp
@@ -0,0 +1,37 @@
+#include "servers/scheduling/headroom.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Standard deviations of the higher tiers' demand for seats that are covered. */
+constexpr double CoveredDeviations = 1.0;
+
+} // namespace
+
+std::uint32_t headroomAbove(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    double mean = 0.0;
+    double rate = 0.0;
+    for (const auto &[name, requestClass] : state.catalog->classes()) {
+        if (requestClass.tier < rank.tier) {
+            const double arrivals = state.classes.arrivalRate(name, now);
+            rate += arrivals;
+            mean += arrivals * state.classes.seatSeconds(name).value_or(0.0);
+        }
+    }
+    // Attempts that end sooner than those of the higher tiers free their seats in time.
+    const bool shorter = state.classes.seatSeconds(rank.name).value_or(0.0) * rate <= mean;
+    if (mean == 0.0 || shorter) {
+        return 0;
+    }
+    const std::int64_t running = state.running.countAbove(rank.tier);
+    // The number of seats in use by random arrivals has the mean as its variance.
+    const std::int64_t wanted = std::llround(mean + CoveredDeviations * std::sqrt(mean));
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, wanted - running));
+}
+
+} // namespace GeraniumLever
--- a/servers/scheduling/running_table.cpp
+++ b/servers/scheduling/running_table.cpp
@@ -7,6 +7,7 @@
     remove(attempt.attempt);
     byRequest_[attempt.request] = attempt.attempt;
     ++counts_[attempt.upstream];
+    ++countsByTier_[attempt.tier];
     const AttemptId id = attempt.attempt;
     attempts_.put(id, std::move(attempt));
 }
@@ -23,6 +24,7 @@
     if (request != byRequest_.end() && request->second == attempt) {
         byRequest_.erase(request);
     }
+    --countsByTier_[removed.tier];
     if (--counts_[removed.upstream] == 0) {
         counts_.erase(removed.upstream);
     }
@@ -35,6 +37,15 @@
     return found == byRequest_.end() ? nullptr : attempts_.find(found->second);
 }
 
+std::uint32_t RunningTable::countAbove(std::uint32_t tier) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[other, attempts] : countsByTier_) {
+        count += other < tier ? attempts : 0;
+    }
+    return count;
+}
+
 std::uint32_t RunningTable::countAt(const UpstreamName &upstream) const
 {
     const std::unordered_map<UpstreamName, std::uint32_t>::const_iterator found = counts_.find(upstream);
--- a/servers/scheduling/running_table.h
+++ b/servers/scheduling/running_table.h
@@ -1,6 +1,7 @@
 /** Attempts of one shard that hold a seat, by attempt, by request and by upstream. */
 #pragma once
 
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,9 @@
     /** Number of attempts at an upstream. */
     std::uint32_t countAt(const UpstreamName &upstream) const;
 
+    /** Number of attempts of higher tiers than the given one. */
+    std::uint32_t countAbove(std::uint32_t tier) const;
+
     const Table<AttemptId, RunningAttempt> &attempts() const { return attempts_; }
     std::size_t size() const { return attempts_.size(); }
 
@@ -32,6 +36,7 @@
     Table<AttemptId, RunningAttempt> attempts_;
     std::unordered_map<RequestId, AttemptId> byRequest_;
     std::unordered_map<UpstreamName, std::uint32_t> counts_;
+    std::map<std::uint32_t, std::uint32_t> countsByTier_;
 };
 
 } // namespace GeraniumLever
--- a/tests/servers/scheduling/scheduling_policy_test.cpp
+++ b/tests/servers/scheduling/scheduling_policy_test.cpp
@@ -59,6 +59,29 @@
     EXPECT_EQ(sent<SlotGrant>().back().request, RequestId(9, 5));
 }
 
+TEST_F(SchedulingPolicyTest, LongWorkLeavesHeadroomToBusyHigherTiers)
+{
+    useCatalog(2, 8);
+    teachSeatTime("letter", std::chrono::seconds(60));
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        ask(number, "live");
+        clock_.advance(std::chrono::seconds(1));
+        end(sent<SlotGrant>().back(), AttemptEnding::Completed);
+    }
+    commands_.clear();
+    for (std::uint64_t number = 100; number < 130; ++number) {
+        ask(number, "letter");
+    }
+    EXPECT_GE(sent<SlotGrant>().size(), 8U);
+    EXPECT_LT(sent<SlotGrant>().size(), 16U);
+    // Nobody asks for the higher tier any more, so that its seats are given away in the end.
+    run(std::chrono::seconds(60));
+    for (std::uint64_t number = 200; number < 210; ++number) {
+        ask(number, "letter");
+    }
+    EXPECT_EQ(sent<SlotGrant>().size(), 16U);
+}
+
 TEST_F(SchedulingPolicyTest, NeverPausesForTheSameOrALowerTier)
 {
     useCatalog(1, 2);
