--- a/development/bench/engine_model.cpp
+++ b/development/bench/engine_model.cpp
@@ -116,7 +116,7 @@
 double EngineModel::uncachedTokens(const EngineWork &work)
 {
     double blocks = 0.0;
-    for (const std::uint64_t hash : work.prefixHashes) {
+    for (const std::uint64_t hash : work.blockHashes) {
         const std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator>::iterator found =
             blockIndex_.find(hash);
         if (found == blockIndex_.end()) {
@@ -131,7 +131,7 @@
 
 void EngineModel::store(const EngineWork &work)
 {
-    for (const std::uint64_t hash : work.prefixHashes) {
+    for (const std::uint64_t hash : work.blockHashes) {
         if (blockIndex_.count(hash) > 0) {
             continue;
         }
--- a/development/bench/engine_model.h
+++ b/development/bench/engine_model.h
@@ -17,7 +17,7 @@
     std::uint32_t promptTokens = 0;
     /** Tokens still to generate. */
     std::uint32_t outputTokens = 0;
-    std::vector<std::uint64_t> prefixHashes;
+    std::vector<std::uint64_t> blockHashes;
 };
 
 /** What an engine has to tell after a step. */
--- a/development/bench/simulation.cpp
+++ b/development/bench/simulation.cpp
@@ -268,7 +268,9 @@
     message.timeLeft = timeLeft;
     message.promptTokens = request.request.promptTokens;
     message.deliveredTokens = request.deliveredBefore;
-    message.prefixHashes = request.request.prefixHashes;
+    const std::vector<std::uint64_t> &blocks = request.request.blockHashes;
+    const std::size_t told = std::min(blocks.size(), MaxPrefixBlocks);
+    message.prefixHashes.assign(blocks.data(), blocks.data() + told);
     message.excluded = request.excluded;
     message.retry = retry;
     message.resumesPaused = resumes;
@@ -341,7 +343,7 @@
     work.tier = request.requestClass.tier;
     work.promptTokens = request.request.promptTokens + request.deliveredBefore;
     work.outputTokens = request.request.outputTokens - request.deliveredBefore;
-    work.prefixHashes = request.request.prefixHashes;
+    work.blockHashes = request.request.blockHashes;
     byAttempt_[grant.attempt] = request.request.request.sequence();
     request.computedPrompt = engines_[engine].add(std::move(work));
     if (!request.computedAgain.empty()) {
--- a/development/bench/workload.cpp
+++ b/development/bench/workload.cpp
@@ -32,7 +32,7 @@
 std::vector<std::uint64_t> hashesOf(const BenchRequest &request, const TrafficSource &source, std::size_t team)
 {
     std::vector<std::uint64_t> hashes;
-    const std::size_t blocks = std::min<std::size_t>(request.promptTokens / TokensPerBlock, MaxPrefixBlocks);
+    const std::size_t blocks = request.promptTokens / TokensPerBlock;
     for (std::size_t block = 0; block < blocks; ++block) {
         const bool shared = block < source.sharedBlocks;
         const std::uint64_t owner = shared ? (request.source * 100 + team + 1) : (1000000 + request.request.sequence());
@@ -71,7 +71,7 @@
         request.promptTokens = lognormal(random, source.promptMedian, source.promptSigma, MaxPromptTokens);
         request.outputTokens = lognormal(random, source.outputMedian, source.outputSigma, MaxOutputTokens);
         request.request = RequestId(RequestOrigin, requests.size() + 1);
-        request.prefixHashes = hashesOf(request, source, team);
+        request.blockHashes = hashesOf(request, source, team);
         requests.push_back(std::move(request));
     }
 }
--- a/development/bench/workload.h
+++ b/development/bench/workload.h
@@ -17,7 +17,8 @@
     Duration arrival { 0 };
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
-    std::vector<std::uint64_t> prefixHashes;
+    /** All blocks of the prompt, as engines cache them; schedulers are told of the first MaxPrefixBlocks only. */
+    std::vector<std::uint64_t> blockHashes;
 };
 
 /** The teams of a shape: ten, a few of them large. */
