--- a/servers/scheduling/grant_system.cpp
+++ b/servers/scheduling/grant_system.cpp
@@ -14,6 +14,12 @@
 /** Requests of a class that are tried when the first one's upstreams are all taken. */
 constexpr std::size_t MaxCandidates = 8;
 
+/** Resumed requests that are compared. */
+constexpr std::size_t MaxResumedCandidates = 32;
+
+/** A resumed request that has waited for this long is served before those that are cheaper to resume. */
+constexpr Duration ResumePatience = std::chrono::seconds(10);
+
 struct Placement
 {
     RequestId request;
@@ -36,6 +42,23 @@
     return std::nullopt;
 }
 
+/** The resumed request that has the least to compute again at a free upstream, unless one has waited for too long. */
+std::optional<Placement> placeResumed(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    if (now - state.queue.oldestOf(rank)->arrived > ResumePatience) {
+        return placeFirst(state, rank, TierOrderReason, now);
+    }
+    std::optional<Placement> best;
+    for (const RequestId &candidate : state.queue.candidates(rank, MaxResumedCandidates)) {
+        const SlotRequest &request = state.queue.find(candidate)->request;
+        const std::optional<UpstreamChoice> choice = chooseUpstream(state, request, now);
+        if (choice && (!best || choice->uncachedTokens < best->choice.uncachedTokens)) {
+            best = Placement { candidate, *choice, TierOrderReason };
+        }
+    }
+    return best;
+}
+
 /** Attempts of the class that run on guaranteed seats. */
 std::uint32_t guaranteedRunning(const ShardState &state, const ClassName &requestClass)
 {
@@ -108,7 +131,10 @@
             blockedTier = rank.tier;
             continue;
         }
-        if (std::optional<Placement> placement = placeFirst(state, rank, TierOrderReason, now); placement) {
+        std::optional<Placement> placement = rank.group == ServiceGroup::Resumed
+            ? placeResumed(state, rank, now)
+            : placeFirst(state, rank, TierOrderReason, now);
+        if (placement) {
             return placement;
         }
     }
