--- a/servers/scheduling/headroom.cpp
+++ b/servers/scheduling/headroom.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** Standard deviations of the higher tiers' demand for seats that are covered. */
-constexpr double CoveredDeviations = 1.0;
+constexpr double CoveredDeviations = 1.5;
 
 } // namespace
 
