Cut the scheduler's processor time per slot request

Expected waits are worked out once per class and not once per team, pauses are decided every 20 ms in the tick and not at every message, running attempts are counted by class, and nothing is looked at if nothing could be paused.

--- a/servers/scheduling/preemption_system.cpp
+++ b/servers/scheduling/preemption_system.cpp
@@ -79,6 +79,9 @@
     std::uint32_t coming = state.pausing + state.pausedSeats;
     std::uint32_t position = 0;
     for (const ClassRank &rank : state.queue.ranks()) {
+        if (!state.running.hasPreemptibleBelow(rank.tier)) {
+            return;
+        }
         for (const RequestId &id : state.queue.candidates(rank, MaxUrgent)) {
             const WaitingRequest &waiting = *state.queue.find(id);
             ++position;
--- a/servers/scheduling/running_table.cpp
+++ b/servers/scheduling/running_table.cpp
@@ -6,8 +6,7 @@
 {
     remove(attempt.attempt);
     byRequest_[attempt.request] = attempt.attempt;
-    ++counts_[attempt.upstream];
-    ++countsByTier_[attempt.tier];
+    count(attempt, 1);
     const AttemptId id = attempt.attempt;
     attempts_.put(id, std::move(attempt));
 }
@@ -24,13 +23,35 @@
     if (request != byRequest_.end() && request->second == attempt) {
         byRequest_.erase(request);
     }
-    --countsByTier_[removed.tier];
-    if (--counts_[removed.upstream] == 0) {
-        counts_.erase(removed.upstream);
-    }
+    count(removed, -1);
     return removed;
 }
 
+void RunningTable::count(const RunningAttempt &attempt, std::int32_t change)
+{
+    counts_[attempt.upstream] += static_cast<std::uint32_t>(change);
+    countsByClass_[attempt.requestClass] += static_cast<std::uint32_t>(change);
+    countsByTier_[attempt.tier] += static_cast<std::uint32_t>(change);
+    preemptibleByTier_[attempt.tier] += attempt.preemptible ? static_cast<std::uint32_t>(change) : 0;
+    // Names come and go with the catalog.
+    if (counts_[attempt.upstream] == 0) {
+        counts_.erase(attempt.upstream);
+    }
+    if (countsByClass_[attempt.requestClass] == 0) {
+        countsByClass_.erase(attempt.requestClass);
+    }
+}
+
+bool RunningTable::hasPreemptibleBelow(std::uint32_t tier) const
+{
+    for (const auto &[other, attempts] : preemptibleByTier_) {
+        if (other > tier && attempts > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 const RunningAttempt *RunningTable::findByRequest(RequestId request) const
 {
     const std::unordered_map<RequestId, AttemptId>::const_iterator found = byRequest_.find(request);
--- a/servers/scheduling/running_table.h
+++ b/servers/scheduling/running_table.h
@@ -29,14 +29,25 @@
     /** Number of attempts of higher tiers than the given one. */
     std::uint32_t countAbove(std::uint32_t tier) const;
 
+    /** Number of attempts by class. */
+    const std::map<ClassName, std::uint32_t> &countsByClass() const { return countsByClass_; }
+
+    /** True if an attempt of a lower tier than the given one is of a class that may be paused. */
+    bool hasPreemptibleBelow(std::uint32_t tier) const;
+
     const Table<AttemptId, RunningAttempt> &attempts() const { return attempts_; }
     std::size_t size() const { return attempts_.size(); }
 
 private:
+    /** Counts an attempt, or takes its count back with change = -1. */
+    void count(const RunningAttempt &attempt, std::int32_t change);
+
     Table<AttemptId, RunningAttempt> attempts_;
     std::unordered_map<RequestId, AttemptId> byRequest_;
     std::unordered_map<UpstreamName, std::uint32_t> counts_;
+    std::map<ClassName, std::uint32_t> countsByClass_;
     std::map<std::uint32_t, std::uint32_t> countsByTier_;
+    std::map<std::uint32_t, std::uint32_t> preemptibleByTier_;
 };
 
 } // namespace GeraniumLever
--- a/servers/scheduling/shard_scheduler.cpp
+++ b/servers/scheduling/shard_scheduler.cpp
@@ -21,6 +21,9 @@
 /** How often the whole queue, the speeds and the silent attempts are looked over. */
 constexpr Duration ReviewInterval = std::chrono::milliseconds(100);
 
+/** How often waiting requests are compared with the attempts that could be paused for them. */
+constexpr Duration PauseInterval = std::chrono::milliseconds(20);
+
 /** Crashes of this many whole upstreams at once are covered by the retry budget. */
 constexpr std::uint32_t RetryBurstUpstreams = 2;
 
@@ -102,7 +105,7 @@
     const WaitingRequest waiting = makeWaiting(from, request, now);
     const ClassRank rank { waiting.tier, waiting.group, request.requestClass };
     state_.queue.push(waiting);
-    schedule(now, commands);
+    grantSeats(state_, now, commands);
     shedUnreachableOf(state_, rank, request.team, now, commands);
 }
 
@@ -129,7 +132,7 @@
     }
     if (const RunningAttempt *running = state_.running.findByRequest(cancel.request); running != nullptr) {
         state_.removeAttempt(running->attempt, now);
-        schedule(now, commands);
+        grantSeats(state_, now, commands);
     }
 }
 
@@ -146,7 +149,7 @@
     }
     noteEnd(state_, *removed, end, now);
     state_.pausedSeats += removed->pausing && end.ending == AttemptEnding::Paused ? 1 : 0;
-    schedule(now, commands);
+    grantSeats(state_, now, commands);
 }
 
 void ShardScheduler::attemptRegistered(const NodeName &from, const AttemptRegistration &registration, TimePoint now)
@@ -221,7 +224,7 @@
     for (const AttemptId &id : lost) {
         state_.removeAttempt(id, now);
     }
-    schedule(now, commands);
+    grantSeats(state_, now, commands);
 }
 
 void ShardScheduler::tick(TimePoint now, Commands &commands)
@@ -237,7 +240,11 @@
         nextReview_ = now + ReviewInterval;
         review(now, commands);
     }
-    schedule(now, commands);
+    grantSeats(state_, now, commands);
+    if (now >= nextPause_) {
+        nextPause_ = now + PauseInterval;
+        pauseForHigherTiers(state_, now, commands);
+    }
 }
 
 void ShardScheduler::review(TimePoint now, Commands &commands)
@@ -248,12 +255,6 @@
     shedUnreachable(state_, now, commands);
 }
 
-void ShardScheduler::schedule(TimePoint now, Commands &commands)
-{
-    grantSeats(state_, now, commands);
-    pauseForHigherTiers(state_, now, commands);
-}
-
 void ShardScheduler::dropSilent(TimePoint now)
 {
     std::vector<AttemptId> silent;
@@ -307,10 +308,11 @@
             summary.waitByTier.resize(requestClass.tier + 1);
         }
         const ClassRank rank { requestClass.tier, ServiceGroup::OnTime, name };
-        const std::optional<double> seconds = expectedWait(state_, rank, state_.queue.sizeOf(rank) + 1, now);
+        const std::optional<WaitLine> line = expectedWait(state_, rank, now);
+        const double seconds = line ? line->at(state_.queue.sizeOf(rank)) : 0.0;
         const Duration wait = free > state_.queue.size()
             ? Duration(0)
-            : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds.value_or(0.0)));
+            : std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
         summary.waitByTier[requestClass.tier] = std::max(summary.waitByTier[requestClass.tier], wait);
     }
 }
--- a/servers/scheduling/shard_scheduler.h
+++ b/servers/scheduling/shard_scheduler.h
@@ -41,7 +41,6 @@
     bool answeredByRunning(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
     bool admit(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
     WaitingRequest makeWaiting(const NodeName &from, const SlotRequest &request, TimePoint now);
-    void schedule(TimePoint now, Commands &commands);
     void reclassify(TimePoint now, Commands &commands);
     void refuseUnplaceable(TimePoint now, Commands &commands);
     void dropSilent(TimePoint now);
@@ -51,6 +50,7 @@
     /** True until the waiting requests have been compared with a changed catalog or set of upstreams. */
     bool queueOutdated_ = false;
     TimePoint nextReview_;
+    TimePoint nextPause_;
 };
 
 } // namespace GeraniumLever
--- a/servers/scheduling/shedding_system.cpp
+++ b/servers/scheduling/shedding_system.cpp
@@ -10,24 +10,50 @@
 /** Most requests that wait in one shard. */
 constexpr std::size_t MaxWaiting = 10000;
 
-bool fits(const std::optional<double> &wait, TimePoint latest, TimePoint now)
+/** Expected waits of a class on time and late; nothing where too little has been measured. */
+struct ClassWaits
 {
-    return !wait || *wait <= std::chrono::duration<double>(latest - now).count();
+    std::optional<WaitLine> onTime;
+    std::optional<WaitLine> late;
+};
+
+ClassWaits waitsOf(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    const ClassRank late { rank.tier, ServiceGroup::Late, rank.name };
+    return ClassWaits { expectedWait(state, rank, now), expectedWait(state, late, now) };
+}
+
+bool fits(const std::optional<WaitLine> &wait, std::size_t ahead, TimePoint latest, TimePoint now)
+{
+    return !wait || wait->at(ahead) <= std::chrono::duration<double>(latest - now).count();
 }
 
 /** True if the last request of a team can get a seat before its deadline, on time or late. */
-bool isReachable(const ShardState &state, const ClassRank &rank, const WaitingRequest &last, TimePoint now)
+bool isReachable(
+    const ShardState &state, const ClassRank &rank, const ClassWaits &waits, const WaitingRequest &last, TimePoint now)
 {
     const std::size_t ahead = state.queue.expectedAhead(rank, last.request.team);
-    const bool late = rank.group == ServiceGroup::Late;
-    if (fits(expectedWait(state, rank, ahead, now), late ? last.deadline : last.lateFrom, now)) {
-        return true;
+    if (rank.group == ServiceGroup::Late) {
+        return fits(waits.late, ahead, last.deadline, now);
     }
-    if (late) {
-        return false;
+    const ClassRank late { rank.tier, ServiceGroup::Late, rank.name };
+    return fits(waits.onTime, ahead, last.lateFrom, now)
+        || fits(waits.late, state.queue.sizeOf(late), last.deadline, now);
+}
+
+void shedOfTeam(ShardState &state,
+                const ClassRank &rank,
+                const ClassWaits &waits,
+                const TeamName &team,
+                TimePoint now,
+                Commands &commands)
+{
+    while (const WaitingRequest *last = state.queue.lastOf(rank, team)) {
+        if (isReachable(state, rank, waits, *last, now)) {
+            return;
+        }
+        refuse(state, last->request.request, ResultCode::Shed, now, commands);
     }
-    const ClassRank lateRank { rank.tier, ServiceGroup::Late, rank.name };
-    return fits(expectedWait(state, lateRank, state.queue.sizeOf(lateRank), now), last.deadline, now);
 }
 
 } // namespace
@@ -35,15 +61,8 @@
 void shedUnreachableOf(
     ShardState &state, const ClassRank &rank, const TeamName &team, TimePoint now, Commands &commands)
 {
-    if (rank.group == ServiceGroup::Resumed) {
-        // To refuse these would waste the part of the answer that has been generated.
-        return;
-    }
-    while (const WaitingRequest *last = state.queue.lastOf(rank, team)) {
-        if (isReachable(state, rank, *last, now)) {
-            return;
-        }
-        refuse(state, last->request.request, ResultCode::Shed, now, commands);
+    if (rank.group != ServiceGroup::Resumed) {
+        shedOfTeam(state, rank, waitsOf(state, rank, now), team, now, commands);
     }
 }
 
@@ -57,8 +76,13 @@
 void shedUnreachable(ShardState &state, TimePoint now, Commands &commands)
 {
     for (const ClassRank &rank : state.queue.ranks()) {
+        // To refuse resumed requests would waste the part of the answer that has been generated.
+        if (rank.group == ServiceGroup::Resumed) {
+            continue;
+        }
+        const ClassWaits waits = waitsOf(state, rank, now);
         for (const TeamName &team : state.queue.teamsOf(rank)) {
-            shedUnreachableOf(state, rank, team, now, commands);
+            shedOfTeam(state, rank, waits, team, now, commands);
         }
     }
 }
--- a/servers/scheduling/wait_estimate.cpp
+++ b/servers/scheduling/wait_estimate.cpp
@@ -55,16 +55,16 @@
 
 } // namespace
 
-std::optional<double> expectedWait(const ShardState &state, const ClassRank &rank, std::size_t ahead, TimePoint now)
+std::optional<WaitLine> expectedWait(const ShardState &state, const ClassRank &rank, TimePoint now)
 {
     const std::optional<double> own = state.classes.seatSeconds(rank.name);
     const double seats = seatsOfShard(state);
     if (!own || seats == 0.0) {
         return std::nullopt;
     }
-    const double work = static_cast<double>(ahead) * *own + workBefore(state, rank);
-    const double claimed = claimedSeats(state, rank, now) / seats;
-    return work / (seats * (1.0 - std::min(claimed, MaxClaimedShare)));
+    const double claimed = std::min(claimedSeats(state, rank, now) / seats, MaxClaimedShare);
+    const double available = seats * (1.0 - claimed);
+    return WaitLine { workBefore(state, rank) / available, *own / available };
 }
 
 Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass)
@@ -79,9 +79,9 @@
 double releaseRate(const ShardState &state)
 {
     double rate = 0.0;
-    for (const auto &[id, attempt] : state.running.attempts()) {
-        const std::optional<double> seconds = state.classes.seatSeconds(attempt.requestClass);
-        rate += seconds && *seconds > 0.0 ? 1.0 / *seconds : 0.0;
+    for (const auto &[requestClass, count] : state.running.countsByClass()) {
+        const double seconds = state.classes.seatSeconds(requestClass).value_or(0.0);
+        rate += seconds > 0.0 ? count / seconds : 0.0;
     }
     return rate;
 }
--- a/servers/scheduling/wait_estimate.h
+++ b/servers/scheduling/wait_estimate.h
@@ -5,9 +5,20 @@
 
 namespace GeraniumLever {
 
-/** Seconds until the shard can grant a seat to a request that has the given number of requests of its own class and
- * group ahead of it; nothing if too little has been measured. Lower tiers are taken to give way. */
-std::optional<double> expectedWait(const ShardState &state, const ClassRank &rank, std::size_t ahead, TimePoint now);
+/** Expected wait in seconds as a line over the number of requests of the own class and group that are ahead. */
+struct WaitLine
+{
+    double base = 0.0;
+    double perRequest = 0.0;
+
+    double at(std::size_t ahead) const { return base + perRequest * static_cast<double>(ahead); }
+
+    auto operator<=>(const WaitLine &) const = default;
+};
+
+/** The expected wait of a class and group; nothing if too little has been measured. Lower tiers are taken to give way.
+ */
+std::optional<WaitLine> expectedWait(const ShardState &state, const ClassRank &rank, TimePoint now);
 
 /** How long a new request may wait for a seat and still meet its target for the first token. */
 Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass);
