--- /dev/null
+++ b/servers/orders/orders.h
@@ -0,0 +1,7 @@
+/**
+ * Public header of the orders package: brings engines to the model version, adapter and role that the catalog names,
+ * one by one and under a lease. I/O-free.
+ */
+#pragma once
+
+#include "servers/orders/order_system.h"
