Claims: a request registers before it waits, so that not run is true of the key

A caller whose connection goes silent repeats its key elsewhere and may be told not run there, while the first request still waits for a seat and runs later. The look-up is now a conditional write that names the request; a claim needs the version of the own registration, so that the last request to register shuts out those before it. It ends with 409 claim_running, outcome unknown. Ruled out: a write before each refusal (holds the refusal back), and asking other nodes (some are dead or cut off). The price is one write in place of one read for a non-idempotent call.

--- a/servers/claims/claim_call.h
+++ b/servers/claims/claim_call.h
@@ -20,6 +20,8 @@
     };
 
     enum class Stage : std::uint8_t {
+        /** The row is being given this request's name, which shuts out all requests that did so before. */
+        Registering,
         /** The row is being read. */
         Reading,
         /** The node that holds the claim is being asked. */
@@ -36,7 +38,7 @@
     std::string key;
     Kind kind = Kind::LookUp;
     Stage stage = Stage::Reading;
-    /** The read under way, in Reading and Fetching. */
+    /** The request to the store under way, in Registering, Reading and Fetching. */
     OperationId operation;
     /** When the stage is given up. */
     TimePoint timeout;
@@ -49,6 +51,7 @@
     std::optional<ClaimStanding> standing;
     /** How often a holder said so. */
     unsigned rereads = 0;
+    unsigned registrations = 0;
 
     bool operator==(const ClaimCall &) const = default;
 };
--- a/servers/claims/claim_calls.cpp
+++ b/servers/claims/claim_calls.cpp
@@ -14,6 +14,7 @@
 constexpr Duration QueryTimeout = std::chrono::seconds(1);
 constexpr Duration StatusTimeout = std::chrono::seconds(5);
 constexpr unsigned MaxRereads = 2;
+constexpr unsigned MaxRegistrations = 4;
 
 } // namespace
 
@@ -76,7 +77,9 @@
     if (call == nullptr || call->operation != result.operation) {
         return true;
     }
-    if (call->stage == Stage::Reading) {
+    if (call->stage == Stage::Registering) {
+        registrationAnswered(request, result, commands);
+    } else if (call->stage == Stage::Reading) {
         rowRead(request, result, now, commands);
     } else if (call->stage == Stage::Fetching) {
         bodyRead(request, result, commands);
@@ -155,7 +158,47 @@
         return;
     }
     wait(stored, stored.timeout);
-    readRow(stored, commands);
+    if (stored.kind == Kind::Status) {
+        readRow(stored, commands);
+    } else {
+        registerCall(stored, { TableCondition::Kind::Absent, 0 }, commands);
+    }
+}
+
+void ClaimCalls::registerCall(ClaimCall &call, const TableCondition &condition, Commands &commands)
+{
+    ++call.registrations;
+    if (call.registrations > MaxRegistrations) {
+        end(call, endUnavailable(call, Outcome::Unknown), commands);
+        return;
+    }
+    ClaimRow row = rowFor(call);
+    row.state = ClaimState::Released;
+    call.stage = Stage::Registering;
+    call.condition = condition;
+    call.operation = operations_.issue();
+    reads_.put(call.operation, call.request.request);
+    const TableWrite write { TableWrite::Action::Put, call.key, formatClaimRow(row), condition };
+    commands.emplace_back(TableTransaction { call.operation, { write } });
+}
+
+void ClaimCalls::registrationAnswered(const RequestId &request, const StoreResult &result, Commands &commands)
+{
+    ClaimCall &call = *calls_.edit(request);
+    switch (result.status) {
+    case StoreStatus::Done:
+        call.stage = Stage::Claimable;
+        call.condition = { TableCondition::Kind::VersionIs, call.condition.version + 1 };
+        notices_.emplace_back(ClaimAbsent { request });
+        return;
+    case StoreStatus::ConditionFailed:
+    case StoreStatus::Ambiguous:
+        readRow(call, commands);
+        return;
+    case StoreStatus::Unavailable:
+        end(call, endUnavailable(call, Outcome::Unknown), commands);
+        return;
+    }
 }
 
 void ClaimCalls::readRow(ClaimCall &call, Commands &commands)
@@ -198,7 +241,7 @@
     call.row = *found;
     call.rowVersion = row->version;
     if (found->state == ClaimState::Released) {
-        claimable(call, { TableCondition::Kind::VersionIs, row->version }, now, commands);
+        decideReleased(call, now, commands);
     } else if (call.kind != Kind::Status && found->bodyDigest != call.request.bodyDigest) {
         end(call, endOtherBody(call), commands);
     } else if (found->state == ClaimState::Unknown) {
@@ -210,6 +253,23 @@
     }
 }
 
+/** Nobody holds the claim. */
+void ClaimCalls::decideReleased(ClaimCall &call, TimePoint now, Commands &commands)
+{
+    const TableCondition condition { TableCondition::Kind::VersionIs, call.rowVersion };
+    const bool registered = call.row.request == call.request.request && call.row.attempt.empty();
+    if (call.kind == Kind::LookUp && registered) {
+        call.stage = Stage::Claimable;
+        call.condition = condition;
+        notices_.emplace_back(ClaimAbsent { call.request.request });
+    } else if (call.kind == Kind::Claim && !registered) {
+        // A later request has registered. It may run, be refused or claim; this one must not.
+        end(call, endRunning(call), commands);
+    } else {
+        claimable(call, condition, now, commands);
+    }
+}
+
 /** Somebody holds the claim, and only that node knows what became of it. */
 void ClaimCalls::decideClaimed(ClaimCall &call, TimePoint now, Commands &commands)
 {
@@ -243,6 +303,11 @@
         end(call, endRunning(call), commands);
         return;
     case ClaimStanding::Abandoned:
+        if (call.kind == Kind::Claim) {
+            // It belongs to a request that has registered later.
+            end(call, endRunning(call), commands);
+            return;
+        }
         claimable(call, { TableCondition::Kind::VersionIs, call.rowVersion }, now, commands);
         return;
     case ClaimStanding::Finished:
@@ -289,6 +354,7 @@
         return;
     }
     switch (call->stage) {
+    case Stage::Registering:
     case Stage::Reading:
     case Stage::Fetching:
         end(*call, endUnavailable(*call, Outcome::Unknown), commands);
@@ -346,14 +412,12 @@
 
 void ClaimCalls::claimable(ClaimCall &call, const TableCondition &condition, TimePoint now, Commands &commands)
 {
-    call.condition = condition;
     if (call.kind == Kind::Status) {
         end(call, endFree(call, condition.kind == TableCondition::Kind::Absent), commands);
         return;
     }
     if (call.kind == Kind::LookUp) {
-        call.stage = Stage::Claimable;
-        notices_.emplace_back(ClaimAbsent { call.request.request });
+        registerCall(call, condition, commands);
         return;
     }
     if (now >= call.request.deadline) {
--- a/servers/claims/claim_calls.h
+++ b/servers/claims/claim_calls.h
@@ -15,8 +15,9 @@
 namespace GeraniumLever {
 
 /**
- * Decides each call by its row. A call is told "not run" only after its row was read and showed no earlier run, or
- * because its own attempt was abandoned first; otherwise the outcome is unknown.
+ * Decides each call by its row. A call first registers: it writes its name into the row, unless the row shows a run.
+ * From then on no request that registered before it can be claimed, so that "not run" is true of the key and not only
+ * of this request, also if an earlier one still waits somewhere. Before, a refusal's outcome is unknown.
  */
 class ClaimCalls
 {
@@ -48,9 +49,12 @@
 
 private:
     void begin(ClaimCall call, Commands &commands);
+    void registerCall(ClaimCall &call, const TableCondition &condition, Commands &commands);
+    void registrationAnswered(const RequestId &request, const StoreResult &result, Commands &commands);
     void readRow(ClaimCall &call, Commands &commands);
     void decideLocally(const ClaimCall &call, const OwnClaim &claim, Commands &commands);
     void decide(const RequestId &request, const TableRow *row, TimePoint now, Commands &commands);
+    void decideReleased(ClaimCall &call, TimePoint now, Commands &commands);
     void decideClaimed(ClaimCall &call, TimePoint now, Commands &commands);
     void decideStanding(const RequestId &request, ClaimStanding standing, TimePoint now, Commands &commands);
     void rowRead(const RequestId &request, const StoreResult &result, TimePoint now, Commands &commands);
@@ -60,6 +64,7 @@
     void replay(ClaimCall &call, Commands &commands);
     void wait(ClaimCall &call, TimePoint timeout);
 
+    /** The row may be claimed under the condition, for all that other calls have done. */
     void claimable(ClaimCall &call, const TableCondition &condition, TimePoint now, Commands &commands);
 
     /** Hands the end over and forgets the call. */
