Add geraniumctl, the operators' command line program

Tries the given nodes in turn; a ticket may go to the next node even when the fate of the first attempt is open, since the same ticket is accepted at most once.

--- /dev/null
+++ b/main/geraniumctl/operator_session.h
@@ -0,0 +1,56 @@
+/** Questions and tickets to whichever of the given nodes answers. */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/core.h"
+#include "platform/http/http.h"
+
+namespace GeraniumLever {
+
+/** Sends one request and waits for its result. */
+class OperatorChannel
+{
+public:
+    virtual ~OperatorChannel() = default;
+    virtual HttpResult exchange(const HttpRequest &request) = 0;
+};
+
+/** Why no node gave a usable answer. */
+struct SessionFailure
+{
+    /** True if a node may have acted on the request. */
+    bool mayHaveActed = false;
+    /** One line a node. */
+    std::string message;
+
+    bool operator==(const SessionFailure &) const = default;
+};
+
+/** The answer of the first node that gave one. */
+using SessionResult = std::variant<HttpResponse, SessionFailure>;
+
+class OperatorSession
+{
+public:
+    OperatorSession(OperatorChannel &channel, std::vector<std::string> nodes, std::string key);
+
+    /** Tries one node after the other. */
+    SessionResult get(const std::string &target);
+
+    /** Sends a ticket. A ticket may be sent again to the next node also when the fate of the first attempt is open,
+     * since the same ticket is accepted at most once. */
+    SessionResult submit(const std::string &text);
+
+private:
+    SessionResult tryAll(const HttpRequest &request);
+
+    OperatorChannel &channel_;
+    std::vector<std::string> nodes_;
+    std::string key_;
+};
+
+} // namespace GeraniumLever
--- a/servers/tickets/ticket.h
+++ b/servers/tickets/ticket.h
@@ -34,6 +34,9 @@
  */
 std::vector<std::string> differences(const Ticket &ticket, const Catalog &catalog);
 
+/** The inverse of canonicalText(ticketOfCatalog(catalog)), also for an empty catalog; nothing for other texts. */
+std::optional<Catalog> parseCatalog(const std::string &text);
+
 /** One ticket that creates every entity of the catalog, for snapshots. */
 Ticket ticketOfCatalog(const Catalog &catalog);
 
--- a/servers/tickets/ticket_text.cpp
+++ b/servers/tickets/ticket_text.cpp
@@ -250,4 +250,10 @@
     return state;
 }
 
+std::optional<Catalog> parseCatalog(const std::string &text)
+{
+    const std::optional<ChainState> state = parseSnapshot(text);
+    return state.has_value() ? std::optional<Catalog>(*state->catalog) : std::nullopt;
+}
+
 } // namespace GeraniumLever
