--- a/servers/tickets/ticket_text.cpp
+++ b/servers/tickets/ticket_text.cpp
@@ -1,7 +1,9 @@
 #include "servers/tickets/ticket_text.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <string_view>
 
 #include "servers/tickets/entity_fields.h"
 #include "servers/yaml/yaml.h"
@@ -173,6 +175,52 @@
     Document document_;
 };
 
+/** A whole catalog is read in parts, since the tree of a YAML text takes many times the memory of the text. */
+constexpr std::size_t PartBytes = 64 * 1024;
+constexpr std::string_view ListStart = "changes:\n";
+constexpr std::string_view ChangeStart = "  - kind:";
+
+/** The end of the part that begins at `begin`: the start of a change, or the end of the text. */
+std::size_t partEnd(const std::string &text, std::size_t begin)
+{
+    // Texts in quotes hold no line ends, so that this finds nothing but starts of changes.
+    const std::size_t next = text.find("\n" + std::string(ChangeStart), begin + PartBytes);
+    return next == std::string::npos ? text.size() : next + 1;
+}
+
+bool appendPart(const std::string &text, Document &document)
+{
+    const YamlResult parsed = parseYaml(text);
+    if (std::holds_alternative<Fault>(parsed)) {
+        return false;
+    }
+    std::vector<Fault> faults;
+    Document part = DocumentReader(true, faults).read(std::get<YAML::Node>(parsed));
+    std::vector<EntityChange> changes = std::move(document.ticket.changes);
+    std::move(part.ticket.changes.begin(), part.ticket.changes.end(), std::back_inserter(changes));
+    document.ticket = std::move(part.ticket);
+    document.ticket.changes = std::move(changes);
+    document.removalsSince = part.removalsSince;
+    document.changedBy.insert(document.changedBy.end(), part.changedBy.begin(), part.changedBy.end());
+    return faults.empty();
+}
+
+std::optional<Document> readInParts(const std::string &text)
+{
+    Document document;
+    const std::size_t list = text.find(ListStart);
+    if (list == std::string::npos) {
+        return appendPart(text, document) ? std::optional<Document>(std::move(document)) : std::nullopt;
+    }
+    const std::string header = text.substr(0, list + ListStart.size());
+    for (std::size_t begin = header.size(); begin < text.size(); begin = partEnd(text, begin)) {
+        if (!appendPart(header + text.substr(begin, partEnd(text, begin) - begin), document)) {
+            return std::nullopt;
+        }
+    }
+    return document;
+}
+
 } // namespace
 
 EntityKey keyOf(const EntityChange &change)
@@ -231,21 +279,16 @@
 
 std::optional<ChainState> parseSnapshot(const std::string &text)
 {
-    const YamlResult parsed = parseYaml(text);
-    if (std::holds_alternative<Fault>(parsed)) {
-        return std::nullopt;
-    }
-    std::vector<Fault> faults;
-    const Document document = DocumentReader(true, faults).read(std::get<YAML::Node>(parsed));
-    if (!faults.empty() || document.changedBy.size() != document.ticket.changes.size()) {
+    const std::optional<Document> document = readInParts(text);
+    if (!document.has_value() || document->changedBy.size() != document->ticket.changes.size()) {
         return std::nullopt;
     }
     ChainState state;
     state.catalog =
-        std::make_shared<const Catalog>(Catalog().withChanges(document.ticket.changes, document.ticket.number));
-    state.removalsSince = document.removalsSince;
-    for (std::size_t index = 0; index < document.changedBy.size(); ++index) {
-        state.lastChanges.emplace(keyOf(document.ticket.changes[index]), document.changedBy[index]);
+        std::make_shared<const Catalog>(Catalog().withChanges(document->ticket.changes, document->ticket.number));
+    state.removalsSince = document->removalsSince;
+    for (std::size_t index = 0; index < document->changedBy.size(); ++index) {
+        state.lastChanges.emplace(keyOf(document->ticket.changes[index]), document->changedBy[index]);
     }
     return state;
 }
