Bound the bytes of all requests that have not arrived whole

Cause: the limits on connections and bodies together allowed 16 GiB of half sent bodies. The new test failed first (nobody was refused).

--- a/tests/platform/http/caller_server_test.cpp
+++ b/tests/platform/http/caller_server_test.cpp
@@ -19,6 +19,7 @@
     settings.maxHeaderBytes = 1024;
     settings.maxBodyBytes = 2048;
     settings.maxConnections = 4;
+    settings.maxPartialBytes = 4096;
     settings.requestTimeout = std::chrono::seconds(60);
     settings.idleTimeout = std::chrono::seconds(60);
     settings.meshKey = meshKey;
@@ -305,10 +306,13 @@
     ASSERT_TRUE(awaitText(caller, "\r\n\r\n"));
     caller->pauseReading();
     const std::string event(1000, 'x');
+    constexpr std::size_t EventsPerTurn = 16;
     std::size_t sent = 0;
     ASSERT_TRUE(await([&] {
-        server_.reply(ReplyData { request, event });
-        ++sent;
+        for (std::size_t index = 0; index < EventsPerTurn; ++index) {
+            server_.reply(ReplyData { request, event });
+            ++sent;
+        }
         return log_.count<CallerBacklog>() == 1;
     }));
     EXPECT_TRUE(log_.contains(CallerBacklog { request, true }));
@@ -423,6 +427,28 @@
     }));
 }
 
+TEST_F(CallerServerTest, BoundsTheBytesOfAllRequestsThatAreNotYetWhole)
+{
+    const std::string head = "POST /v1/x HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n";
+    std::vector<std::shared_ptr<RawConnection>> callers;
+    for (std::size_t index = 0; index < 3; ++index) {
+        callers.push_back(connect());
+        callers.back()->send(head + std::string(1900, 'x'));
+    }
+    ASSERT_TRUE(await([&callers] {
+        return std::any_of(callers.begin(), callers.end(), [](const auto &caller) { return caller->ended(); });
+    }));
+    std::size_t refused = 0;
+    for (const std::shared_ptr<RawConnection> &caller : callers) {
+        refused += caller->has("\"name\":\"queue_full\"") ? 1U : 0U;
+        caller->send(std::string(100, 'x'));
+    }
+    EXPECT_EQ(refused, 1U);
+    ASSERT_TRUE(awaitRequests(2));
+    EXPECT_EQ(log_.count<CallerRequest>(), 2U);
+    expectOthersServed();
+}
+
 TEST_F(CallerServerTest, AsksForABodyThatIsHeldBack)
 {
     const std::shared_ptr<RawConnection> caller = connect();
