--- a/development/load/load_main.cpp
+++ b/development/load/load_main.cpp
@@ -6,9 +6,7 @@
 
 #include <cxxopts.hpp>
 
-#include "development/load/compare_load.h"
-#include "development/load/hold_load.h"
-#include "development/load/stream_load.h"
+#include "development/load/load.h"
 
 namespace {
 
