Add the scenario language, its scenarios, and the system test

Scenarios run the real node logic on a stepped clock with fakes for network, platform, engines, services and callers; one CTest entry a file.

--- a/development/standins/standins.h
+++ b/development/standins/standins.h
@@ -2,6 +2,7 @@
  *  in tests. Not part of what is installed. */
 #pragma once
 
+#include "development/standins/completion_format.h"
 #include "development/standins/engine_stand_in.h"
 #include "development/standins/item_table.h"
 #include "development/standins/platform_stand_in.h"
--- /dev/null
+++ b/tests/scenarios/scenario_file.h
@@ -0,0 +1,50 @@
+/** Reader of scenario files: one statement a line, words separated by blanks, `#` begins a comment. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+/** One statement. docs/SCENARIOS.md describes all of them. */
+struct ScenarioStatement
+{
+    std::size_t line = 0;
+    /** Relative to the moment in which the site is ready. */
+    Duration at { 0 };
+    std::string verb;
+    /** Words without '='. */
+    std::vector<std::string> words;
+    /** Words of the form name=value. */
+    std::map<std::string, std::string> options;
+
+    bool operator==(const ScenarioStatement &) const = default;
+};
+
+/** One run of a scenario: a file with one seed and one value of its sweep. */
+struct Scenario
+{
+    std::string name;
+    std::uint64_t seed = 1;
+    std::map<std::string, std::string> site;
+    std::vector<ScenarioStatement> statements;
+    Duration end { 0 };
+
+    bool operator==(const Scenario &) const = default;
+};
+
+/** Names a run in GoogleTest's output. */
+std::ostream &operator<<(std::ostream &stream, const Scenario &scenario);
+
+/** Every run that a file describes. Throws std::runtime_error with name and line if it is malformed. */
+std::vector<Scenario> readScenarios(const std::string &path);
+
+/** "5ms", "2s" and sums such as "2s+5ms". Throws std::runtime_error if malformed. */
+Duration parseDuration(const std::string &text);
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/scenarios/timeline.h
@@ -0,0 +1,50 @@
+/** The stepped clock of a scenario with what is due on it. */
+#pragma once
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+class Timeline
+{
+public:
+    explicit Timeline(std::uint64_t seed) : random_(seed) { }
+
+    TimePoint now() const { return clock_.now(); }
+
+    /** Does something later. What is due at the same time is done in the order in which it was asked for. */
+    void after(Duration delay, std::function<void()> action)
+    {
+        due_.emplace(std::make_pair(now() + delay, ++count_), std::move(action));
+    }
+
+    /** The same with a delay that the seed spreads by up to a half. */
+    void afterAbout(Duration delay, std::function<void()> action)
+    {
+        constexpr double Spread = 0.5;
+        after(random_.jittered(delay, Spread), std::move(action));
+    }
+
+    /** Moves the clock forward and does what has become due. */
+    void step(Duration step)
+    {
+        clock_.advance(step);
+        while (!due_.empty() && due_.begin()->first.first <= now()) {
+            std::function<void()> action = std::move(due_.begin()->second);
+            due_.erase(due_.begin());
+            action();
+        }
+    }
+
+private:
+    SteppedClock clock_;
+    RandomSource random_;
+    std::uint64_t count_ = 0;
+    std::map<std::pair<TimePoint, std::uint64_t>, std::function<void()>> due_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/system/system_site.h
@@ -0,0 +1,82 @@
+/** A whole site of real processes on loopback addresses. */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/system/child_process.h"
+#include "tests/system/http_call.h"
+
+namespace GeraniumLever {
+
+struct SystemNode
+{
+    std::string name;
+    std::string dataCenter;
+    std::string callerAddress;
+    std::string operatorAddress;
+    std::string meshAddress;
+    std::unique_ptr<ChildProcess> process;
+};
+
+struct SystemUpstream
+{
+    std::string name;
+    std::string dataCenter;
+    std::string address;
+    std::unique_ptr<ChildProcess> process;
+};
+
+/** Nine nodes, six engines and three plain services in three data centres, and the platform. */
+class SystemSite
+{
+public:
+    SystemSite();
+    ~SystemSite();
+
+    /** Starts everything and submits the first ticket; false if it is not in force at all nodes in time. */
+    bool start();
+
+    void startNode(SystemNode &node);
+    void startEngine(SystemUpstream &engine);
+
+    /** Node "a1" and so on, engine "engine-a1", service "desk-a1". */
+    SystemNode &node(const std::string &name) { return nodes.at(name); }
+    SystemUpstream &upstream(const std::string &name) { return upstreams.at(name); }
+
+    /** Waits until all the nodes have the ticket in force; false if that takes too long. */
+    bool waitForHead(std::uint64_t number);
+
+    /** Sends a fault to a stand-in. */
+    void setFault(const std::string &address, const std::string &kind, std::uint64_t value = 0);
+
+    /** A request of an operator. */
+    std::optional<HttpReply> operate(const SystemNode &node,
+                                     const std::string &method,
+                                     const std::string &target,
+                                     const std::string &body = "");
+
+    /** The node that schedules the engines of a data centre, by the word of the one asked. */
+    std::string schedulerSeenBy(const SystemNode &node);
+
+    /** Executions by key at all services together. */
+    std::map<std::string, std::uint64_t> executions();
+
+    /** What the processes have written, for failures. */
+    std::string folder() const { return folder_; }
+
+    std::map<std::string, SystemNode> nodes;
+    std::map<std::string, SystemUpstream> upstreams;
+    std::string platformAddress;
+
+private:
+    std::string settingsOf(const SystemNode &node) const;
+    std::string firstTicket() const;
+
+    std::string folder_;
+    std::unique_ptr<ChildProcess> platform_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/system/system_test.cpp
@@ -0,0 +1,185 @@
+#include <csignal>
+
+#include <gtest/gtest.h>
+
+#include "development/standins/standins.h"
+#include "tests/system/stream_load.h"
+#include "tests/system/system_site.h"
+
+namespace GeraniumLever {
+namespace {
+
+constexpr int CallsEach = 5;
+constexpr int CallersEach = 3;
+/** Until the load is well under way; the verdicts do not depend on it. */
+constexpr std::chrono::milliseconds IntoTheLoad { 700 };
+constexpr std::chrono::seconds ExitLimit { 60 };
+
+class SystemTest : public testing::Test
+{
+protected:
+    void SetUp() override { ASSERT_TRUE(site_.start()) << logs(); }
+
+    /** Callers at each of the nodes. */
+    void addCallers(const std::vector<std::string> &names)
+    {
+        for (const std::string &name : names) {
+            for (int caller = 0; caller < CallersEach; ++caller) {
+                std::string address = site_.node(name).callerAddress;
+                load_.add(name + "-" + std::to_string(caller), CallsEach, [address]() { return address; });
+            }
+            expected_ += CallersEach * CallsEach;
+        }
+    }
+
+    void expectAllWhole()
+    {
+        load_.join();
+        EXPECT_EQ(load_.whole(), expected_);
+        for (const std::string &fault : load_.faults()) {
+            ADD_FAILURE() << fault;
+        }
+    }
+
+    std::optional<HttpReply> pay(const std::string &node, const std::string &key)
+    {
+        HttpCall call {
+            "POST",
+            "/services/desk/pay",
+            { { "Authorization", "Bearer caller-key" }, { "Geranium-Class", "debit" }, { "Idempotency-Key", key } },
+            "{\"amount\":5}"
+        };
+        return httpExchange(site_.node(node).callerAddress, call);
+    }
+
+    bool waitForExit(ChildProcess &process)
+    {
+        std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + ExitLimit;
+        while (!process.exitCode() && std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        return process.exitCode().has_value();
+    }
+
+    static std::vector<std::string> without(std::vector<std::string> names, const std::string &name)
+    {
+        std::erase(names, name);
+        return names;
+    }
+
+    /** Nodes of data centre a but its scheduler, whose name is returned in the second. */
+    std::vector<std::string> othersThanScheduler(std::string &scheduler)
+    {
+        std::vector<std::string> names { "a1", "a2", "a3" };
+        EXPECT_TRUE(callStream(site_.node("a1").callerAddress, "who schedules"));
+        scheduler = site_.schedulerSeenBy(site_.node("a1"));
+        EXPECT_TRUE(site_.nodes.contains(scheduler)) << scheduler;
+        return without(names, scheduler);
+    }
+
+    std::string logs()
+    {
+        std::string command = "the processes' output was in " + site_.folder();
+        return command;
+    }
+
+    SystemSite site_;
+    StreamLoad load_;
+    int expected_ = 0;
+};
+
+TEST_F(SystemTest, EveryNodeAnswersAndNoPaymentRunsTwice)
+{
+    for (const auto &[name, node] : site_.nodes) {
+        std::string fault;
+        EXPECT_TRUE(callStream(node.callerAddress, "prompt at " + name, &fault)) << fault;
+        std::optional<HttpReply> paid = pay(name, "key-1");
+        ASSERT_TRUE(paid);
+        EXPECT_EQ(paid->body, serviceAnswer("key-1", "{\"amount\":5}"));
+        EXPECT_EQ(paid->outcome, "answered");
+    }
+    EXPECT_EQ(site_.executions()["key-1"], 1U);
+}
+
+TEST_F(SystemTest, ATicketComesIntoForceEverywhere)
+{
+    std::string ticket = "number: 2\nauthor: operator\nchanges:\n  - {kind: class, name: bulk, tier: 3}\n";
+    std::optional<HttpReply> reply = site_.operate(site_.node("c2"), "POST", "/admin/tickets", ticket);
+    ASSERT_TRUE(reply);
+    EXPECT_EQ(reply->status, 200U) << reply->body;
+    EXPECT_TRUE(site_.waitForHead(2));
+}
+
+TEST_F(SystemTest, KilledProcessesCutOffOnlyTheKilledNodesOwnCallers)
+{
+    std::string scheduler;
+    addCallers(othersThanScheduler(scheduler));
+    addCallers({ "b2", "b3", "c1", "c2", "c3" });
+    StreamLoad atKilledNode;
+    std::string killedAddress = site_.node("b1").callerAddress;
+    atKilledNode.add("b1", 1, [killedAddress]() { return killedAddress; });
+    std::this_thread::sleep_for(IntoTheLoad);
+    site_.node(scheduler).process->kill();
+    site_.node("b1").process->kill();
+    site_.upstream("engine-c1").process->kill();
+    expectAllWhole();
+    atKilledNode.join();
+}
+
+TEST_F(SystemTest, PlannedStopsCutOffNothing)
+{
+    addCallers({ "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3" });
+    // These callers use the node only for as long as it is ready, as a balancer does.
+    std::string stopping = site_.node("a1").operatorAddress;
+    std::string address = site_.node("a1").callerAddress;
+    std::string other = site_.node("b1").callerAddress;
+    load_.add("a1", CallsEach, [stopping, address, other]() {
+        std::optional<HttpReply> ready = httpExchange(stopping, { "GET", "/readyz", {}, "" });
+        return ready && ready->status == 200 ? address : other;
+    });
+    expected_ += CallsEach;
+    std::this_thread::sleep_for(IntoTheLoad);
+    site_.node("a1").process->signal(SIGTERM);
+    site_.upstream("engine-b1").process->signal(SIGTERM);
+    std::this_thread::sleep_for(IntoTheLoad);
+    site_.node("a1").process->signal(SIGTERM);
+    expectAllWhole();
+    ASSERT_TRUE(waitForExit(*site_.node("a1").process));
+    EXPECT_EQ(site_.node("a1").process->exitCode(), 0);
+    ASSERT_TRUE(waitForExit(*site_.upstream("engine-b1").process));
+    EXPECT_EQ(site_.upstream("engine-b1").process->exitCode(), 0);
+}
+
+TEST_F(SystemTest, AFrozenSchedulerDelaysButBreaksNothing)
+{
+    std::string scheduler;
+    addCallers(othersThanScheduler(scheduler));
+    addCallers({ "b1", "c1" });
+    std::this_thread::sleep_for(IntoTheLoad);
+    site_.node(scheduler).process->signal(SIGSTOP);
+    expectAllWhole();
+    site_.node(scheduler).process->signal(SIGCONT);
+    EXPECT_TRUE(site_.waitForHead(1));
+    std::string fault;
+    EXPECT_TRUE(callStream(site_.node(scheduler).callerAddress, "after the freeze", &fault)) << fault;
+}
+
+TEST_F(SystemTest, WithoutThePlatformStreamsGoOnAndPaymentsAreNotBegun)
+{
+    site_.setFault(site_.platformAddress, "down");
+    addCallers({ "a1", "b1", "c1" });
+    std::optional<HttpReply> refused = pay("a1", "key-2");
+    ASSERT_TRUE(refused);
+    EXPECT_NE(refused->status, 200U);
+    EXPECT_NE(refused->outcome, "answered");
+    EXPECT_EQ(site_.executions()["key-2"], 0U);
+    expectAllWhole();
+    site_.setFault(site_.platformAddress, "none");
+    std::optional<HttpReply> paid = pay("b2", "key-2");
+    ASSERT_TRUE(paid);
+    EXPECT_EQ(paid->status, 200U) << paid->body;
+    EXPECT_EQ(site_.executions()["key-2"], 1U);
+}
+
+} // namespace
+} // namespace GeraniumLever
