--- a/main/node/node_logic.cpp
+++ b/main/node/node_logic.cpp
@@ -1,6 +1,7 @@
 #include "main/node/node_logic.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace GeraniumLever {
@@ -10,6 +11,11 @@
 /** How long a stopping node still takes requests, so that the balancer notices before connections are refused. */
 constexpr Duration DrainGrace = std::chrono::seconds(3);
 
+constexpr Duration OrderTickPeriod = std::chrono::milliseconds(200);
+
+/** How long a new scheduler waits for an upstream's first report before it grants its seats. */
+constexpr Duration FirstReportWait = std::chrono::milliseconds(1500);
+
 std::uint64_t originOf(const NodeIdentity &identity)
 {
     return originHash(identity.address.node, identity.incarnation);
@@ -24,6 +30,7 @@
     , tickets_(self_, operations_, identity_.seed)
     , claims_(self_, identity_.incarnation, operations_)
     , scheduling_(self_, originOf(identity_), identity_.seed)
+    , orders_(self_, identity_.incarnation, identity_.address.dataCenter, operations_)
     , ingress_(originOf(identity_), identity_.meshKey, claims_, membership_)
     , catalog_(tickets_.catalog())
 {
@@ -55,11 +62,13 @@
     }
     if (membership_.takeChanged() || !lost.empty()) {
         refreshSeatShare();
+        refreshWatched(now);
         ingress_.schedulersChanged(lost, now, produced);
     }
     tickets_.tick(membership_.isDelegate(), pushTargets(), now, produced);
     refreshCatalog(now);
     claims_.tick(now, produced);
+    tickOrders(now, produced);
     scheduling_.tick(now, produced);
     ingress_.tick(now, produced);
     route(std::move(produced), now, commands);
@@ -97,7 +106,7 @@
         const std::vector<RequestId>::iterator asked =
             std::find(operatorQuestions_.begin(), operatorQuestions_.end(), status.request);
         if (asked == operatorQuestions_.end()) {
-            ingress_.statusKnown(status, produced);
+            ingress_.statusKnown(status, now, produced);
             continue;
         }
         operatorQuestions_.erase(asked);
@@ -119,21 +128,28 @@
     return std::exchange(operatorStatuses_, {});
 }
 
-std::vector<UpstreamName> NodeLogic::watchedUpstreams() const
+void NodeLogic::refreshWatched(TimePoint now)
 {
+    std::set<ShardKey> mine;
+    for (const auto &[name, pool] : catalog_->pools()) {
+        for (const ShardKey &shard : shardsOf(*catalog_, identity_.address.dataCenter, name)) {
+            if (membership_.schedulerFor(shard).value_or(self_) == self_) {
+                mine.insert(shard);
+            }
+        }
+    }
     std::vector<UpstreamName> watched;
-    for (const auto &[name, upstream] : catalog_->upstreams()) {
-        const std::optional<ShardKey> shard = shardOf(*catalog_, name);
-        if (shard && shard->dataCenter == identity_.address.dataCenter && schedulesFor(*shard)) {
-            watched.push_back(name);
+    for (const ShardKey &shard : mine) {
+        const std::vector<UpstreamName> members = upstreamsOf(*catalog_, shard);
+        watched.insert(watched.end(), members.begin(), members.end());
+    }
+    std::sort(watched.begin(), watched.end());
+    for (const UpstreamName &name : watched) {
+        if (!std::binary_search(watched_.begin(), watched_.end(), name)) {
+            scheduling_.awaitReport(name, now + FirstReportWait);
         }
     }
-    return watched;
-}
-
-bool NodeLogic::schedulesFor(const ShardKey &shard) const
-{
-    return membership_.schedulerFor(shard).value_or(self_) == self_;
+    watched_ = std::move(watched);
 }
 
 std::vector<NodeName> NodeLogic::pushTargets() const
@@ -161,6 +177,8 @@
     catalog_ = tickets_.catalog();
     scheduling_.applyCatalog(catalog_, now);
     ingress_.applyCatalog(catalog_);
+    orders_.applyCatalog(catalog_);
+    refreshWatched(now);
     for (const auto &[name, upstream] : catalog_->upstreams()) {
         if (leaving_.isLeaving(name)) {
             scheduling_.upstreamLeaving(name, true, now);
@@ -181,6 +199,19 @@
     scheduling_.setSeatShare(reachable > 1 || known == 1 ? 1.0 : 1.0 / static_cast<double>(known));
 }
 
+void NodeLogic::tickOrders(TimePoint now, Commands &produced)
+{
+    if (now < nextOrderTick_) {
+        return;
+    }
+    nextOrderTick_ = now + OrderTickPeriod;
+    const InFlightLookup inFlightAt = [this](const UpstreamName &upstream) { return scheduling_.inFlightAt(upstream); };
+    orders_.tick(now, watchedUpstreams(), inFlightAt, produced);
+    for (const UpstreamHold &hold : orders_.takeHolds()) {
+        scheduling_.upstreamHeld(hold.upstream, hold.held, now);
+    }
+}
+
 void NodeLogic::refreshState(TimePoint now, Commands &commands)
 {
     if (state_ == NodeState::Starting && tickets_.standing().caughtUp) {
@@ -268,6 +299,7 @@
 void NodeLogic::on(const LoadReport &event, TimePoint now, Commands &produced)
 {
     scheduling_.loadReported(event, now);
+    orders_.loadReported(event, now);
     noteLeaving(leaving_.reported(event, now), true, now, produced);
 }
 
@@ -304,10 +336,11 @@
 
 void NodeLogic::on(const StoreResult &event, TimePoint now, Commands &produced)
 {
-    if (!claims_.storeAnswered(event, now, produced)) {
-        tickets_.storeAnswered(event, now, produced);
-        refreshCatalog(now);
+    if (claims_.storeAnswered(event, now, produced) || orders_.storeAnswered(event, now, produced)) {
+        return;
     }
+    tickets_.storeAnswered(event, now, produced);
+    refreshCatalog(now);
 }
 
 void NodeLogic::on(const StopRequested &, TimePoint now, Commands &produced)
--- a/main/node/node_logic.h
+++ b/main/node/node_logic.h
@@ -11,6 +11,7 @@
 #include "servers/claims/claims.h"
 #include "servers/ingress/ingress.h"
 #include "servers/membership/membership.h"
+#include "servers/orders/orders.h"
 #include "servers/scheduling/scheduling.h"
 #include "servers/tickets/tickets.h"
 
@@ -50,7 +51,7 @@
     NodeState state() const { return state_; }
 
     /** Upstreams whose load this node should read, since it schedules for them. */
-    std::vector<UpstreamName> watchedUpstreams() const;
+    const std::vector<UpstreamName> &watchedUpstreams() const { return watched_; }
 
     const MembershipSystem &membership() const { return membership_; }
     const TicketSystem &tickets() const { return tickets_; }
@@ -75,8 +76,10 @@
     void refreshCatalog(TimePoint now);
     void refreshState(TimePoint now, Commands &commands);
     void refreshSeatShare();
+    void tickOrders(TimePoint now, Commands &produced);
     std::vector<NodeName> pushTargets() const;
-    bool schedulesFor(const ShardKey &shard) const;
+    /** Recomputes for which upstreams this node schedules; new ones get no grant before they have reported. */
+    void refreshWatched(TimePoint now);
 
     void on(const CallerRequest &event, TimePoint now, Commands &produced);
     void on(const CallerGone &event, TimePoint now, Commands &produced);
@@ -120,10 +123,13 @@
     TicketSystem tickets_;
     ClaimSystem claims_;
     SchedulingSystem scheduling_;
+    OrderSystem orders_;
     IngressSystem ingress_;
     LeavingTracker leaving_;
     CatalogPtr catalog_;
+    std::vector<UpstreamName> watched_;
     NodeState state_ = NodeState::Starting;
+    TimePoint nextOrderTick_;
     TimePoint stopAt_;
     TimePoint drainUntil_;
     bool stopReported_ = false;
--- a/servers/ingress/answer_assembler.cpp
+++ b/servers/ingress/answer_assembler.cpp
@@ -84,6 +84,25 @@
     return Effect::Forward;
 }
 
+void AnswerAssembler::finishAtLimit()
+{
+    finishReason_ = "length";
+    boost::json::object choice;
+    choice["index"] = 0;
+    if (chat_) {
+        choice["delta"] = boost::json::object();
+    } else {
+        choice["text"] = "";
+    }
+    choice["finish_reason"] = finishReason_;
+    boost::json::object chunk;
+    chunk["id"] = id_;
+    chunk["object"] = chat_ ? "chat.completion.chunk" : "text_completion";
+    chunk["created"] = created_;
+    chunk["choices"] = boost::json::array { std::move(choice) };
+    event_ = boost::json::serialize(chunk);
+}
+
 void AnswerAssembler::beginContinuation()
 {
     continuation_ = !id_.empty();
--- a/servers/ingress/answer_assembler.h
+++ b/servers/ingress/answer_assembler.h
@@ -33,6 +33,10 @@
     /** The event to pass on after Effect::Forward. Events of later engines carry the first engine's identifier. */
     const std::string &event() const { return event_; }
 
+    /** Ends an answer that has as many tokens as the caller allows, and whose last event was lost: makes event() the
+     * last event, with the finish reason that engines give then. */
+    void finishAtLimit();
+
     /** Begins the next engine's continuation of the same answer. */
     void beginContinuation();
 
--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -55,6 +55,7 @@
     , claims_(claims)
     , membership_(membership)
     , seats_(requests_, membership)
+    , finisher_(origin, requests_, seats_, claims)
     , catalog_(std::make_shared<const Catalog>())
 {
 }
@@ -115,7 +116,8 @@
         commands.emplace_back(UpstreamCancel { row->running.attempt });
         seats_.end(*row, AttemptEnding::Cancelled, row->answer.tokens(), commands);
     }
-    finish(*row, row->begun ? Outcome::Failed : Outcome::NotRun, ResultCode::Ok, row->answer.tokens(), now, commands);
+    finisher_.forget(
+        *row, row->begun ? Outcome::Failed : Outcome::NotRun, ResultCode::Ok, row->answer.tokens(), now, commands);
 }
 
 void IngressSystem::callerBacklogged(const CallerBacklog &event, Commands &commands)
@@ -133,7 +135,8 @@
     if (seats_.ask(row, now, commands) || forward(row, now, commands)) {
         return;
     }
-    giveUp(row, { ResultCode::NoUpstream, "no upstream serves the request", DefaultRetryAfter }, now, commands);
+    finisher_.giveUp(
+        row, { ResultCode::NoUpstream, "no upstream serves the request", DefaultRetryAfter }, now, commands);
 }
 
 void IngressSystem::slotGranted(const NodeName &from, const SlotGrant &grant, TimePoint now, Commands &commands)
@@ -148,7 +151,8 @@
     }
     if (now >= row->deadline) {
         seats_.decline(from, grant, commands);
-        giveUp(*row, { ResultCode::DeadlineUnreachable, "no seat was free in time", DefaultRetryAfter }, now, commands);
+        finisher_.giveUp(
+            *row, { ResultCode::DeadlineUnreachable, "no seat was free in time", DefaultRetryAfter }, now, commands);
         return;
     }
     if (!catalog_->upstreams().contains(grant.upstream)) {
@@ -175,7 +179,7 @@
     if (forward(*row, now, commands)) {
         return;
     }
-    giveUp(*row, { refusal.code, "no seat can be had in time", refusal.retryAfter }, now, commands);
+    finisher_.giveUp(*row, { refusal.code, "no seat can be had in time", refusal.retryAfter }, now, commands);
 }
 
 void IngressSystem::attemptPaused(const AttemptPause &pause, TimePoint now, Commands &commands)
@@ -186,6 +190,9 @@
         return;
     }
     commands.emplace_back(UpstreamCancel { pause.attempt });
+    if (finisher_.completeIfOnlyEndIsMissing(*row, now, commands)) {
+        return;
+    }
     Decision decision = decide("paused", *row);
     addField(decision, "attempt", pause.attempt.text());
     addField(decision, "tokens", std::to_string(row->answer.tokens()));
@@ -322,7 +329,7 @@
         return;
     case AnswerAssembler::Effect::Whole:
         commands.emplace_back(UpstreamReading { row.running.attempt, true });
-        completeCompletion(row, now, commands);
+        finisher_.completeCompletion(row, now, commands);
         return;
     case AnswerAssembler::Effect::Faulty:
         commands.emplace_back(UpstreamCancel { row.running.attempt });
@@ -376,7 +383,7 @@
         attemptLost(*row, { ResultCode::UpstreamLost, "the upstream failed", std::nullopt }, now, commands);
         return;
     }
-    completeWhole(*row, { row->head.status, row->head.contentType, row->body }, now, commands);
+    finisher_.completeWhole(*row, { row->head.status, row->head.contentType, row->body }, now, commands);
 }
 
 void IngressSystem::upstreamFailed(const UpstreamFailure &failure, TimePoint now, Commands &commands)
@@ -441,13 +448,11 @@
             claims_.outcomeUnknown(request, now, commands);
         }
         Error error { ResultCode::OutcomeUnknown, cause.message + "; the call may have run", std::nullopt };
-        finish(row, Outcome::Unknown, error.code, row.answer.tokens(), now, commands);
+        finisher_.forget(row, Outcome::Unknown, error.code, row.answer.tokens(), now, commands);
         commands.emplace_back(ReplyError { request, std::move(error), Outcome::Unknown });
         return;
     }
-    // A finish reason is the engine's own word that the text is complete; only the end mark was lost.
-    if (row.answer.finished()) {
-        completeCompletion(row, now, commands);
+    if (finisher_.completeIfOnlyEndIsMissing(row, now, commands)) {
         return;
     }
     if (!upstreamWell && !row.running.upstream.empty()) {
@@ -460,11 +465,11 @@
 void IngressSystem::retry(RequestRow &row, const Error &cause, TimePoint now, Commands &commands)
 {
     if (!row.requestClass.idempotent) {
-        giveUp(row, cause, now, commands);
+        finisher_.giveUp(row, cause, now, commands);
         return;
     }
     if (row.attempts >= MaxAttempts) {
-        giveUp(row, cause, now, commands);
+        finisher_.giveUp(row, cause, now, commands);
         return;
     }
     if (row.begun) {
@@ -489,6 +494,7 @@
 {
     RequestRow *row = requests_.edit(notice.request);
     if (row != nullptr && row->phase == RequestPhase::LookingUp) {
+        row->keyReadAt = now;
         askForSeat(*row, now, commands);
     }
 }
@@ -504,10 +510,10 @@
         return;
     }
     seats_.end(*row, AttemptEnding::NotSent, 0, commands);
-    giveUp(*row,
-           { ResultCode::DeadlineUnreachable, "the call could not be started in time", DefaultRetryAfter },
-           now,
-           commands);
+    finisher_.giveUp(*row,
+                     { ResultCode::DeadlineUnreachable, "the call could not be started in time", DefaultRetryAfter },
+                     now,
+                     commands);
 }
 
 void IngressSystem::takeNotice(const ClaimReplay &notice, TimePoint now, Commands &commands)
@@ -518,7 +524,7 @@
     }
     seats_.end(*row, AttemptEnding::NotSent, 0, commands);
     commands.emplace_back(decide("replay", *row));
-    finish(*row, Outcome::Answered, ResultCode::Ok, 0, now, commands);
+    finisher_.forget(*row, Outcome::Answered, ResultCode::Ok, 0, now, commands);
     replyWhole(notice.request, notice.answer, Outcome::Answered, true, std::nullopt, commands);
 }
 
@@ -529,70 +535,7 @@
         return;
     }
     seats_.end(*row, AttemptEnding::NotSent, 0, commands);
-    finish(*row, notice.outcome, notice.error.code, 0, now, commands);
-    commands.emplace_back(ReplyError { notice.request, notice.error, notice.outcome });
-}
-
-void IngressSystem::statusKnown(const ClaimStatus &status, Commands &commands)
-{
-    if (requests_.find(status.request) == nullptr) {
-        return;
-    }
-    requests_.erase(status.request);
-    replyStatus(status, commands);
-}
-
-// Answers.
-
-void IngressSystem::completeCompletion(RequestRow &row, TimePoint now, Commands &commands)
-{
-    if (!row.streamed()) {
-        completeWhole(
-            row,
-            { HttpOk, "application/json", row.answer.wholeBody(row.completion->model().text(), row.promptTokens) },
-            now,
-            commands);
-        return;
-    }
-    const RequestId request = row.call.request;
-    seats_.end(row, AttemptEnding::Completed, 0, commands);
-    finish(row, Outcome::Answered, ResultCode::Ok, 0, now, commands);
-    commands.emplace_back(ReplyData { request, "[DONE]" });
-    commands.emplace_back(ReplyEnd { request });
-}
-
-void IngressSystem::completeWhole(RequestRow &row, const RecordedAnswer &answer, TimePoint now, Commands &commands)
-{
-    const RequestId request = row.call.request;
-    const bool forwarded = row.phase == RequestPhase::Forwarded;
-    const Outcome outcome = forwarded ? outcomeNamed(row.head.outcome, Outcome::Answered) : Outcome::Answered;
-    const bool replayed = row.head.replayed;
-    const std::optional<Duration> retryAfter = row.head.retryAfter;
-    if (!row.requestClass.idempotent && !forwarded) {
-        claims_.finished(request, answer, now, commands);
-    }
-    seats_.end(row, AttemptEnding::Completed, 0, commands);
-    finish(row, outcome, ResultCode::Ok, 0, now, commands);
-    replyWhole(request, answer, outcome, replayed, retryAfter, commands);
-}
-
-void IngressSystem::giveUp(RequestRow &row, Error error, TimePoint now, Commands &commands)
-{
-    const RequestId request = row.call.request;
-    const Outcome outcome = row.begun ? Outcome::Failed : Outcome::NotRun;
-    if (!row.requestClass.idempotent) {
-        claims_.abandoned(request, now, commands);
-    }
-    finish(row, outcome, error.code, row.answer.tokens(), now, commands);
-    commands.emplace_back(ReplyError { request, std::move(error), outcome });
-}
-
-void IngressSystem::finish(
-    RequestRow &row, Outcome outcome, ResultCode code, std::uint32_t wastedTokens, TimePoint now, Commands &commands)
-{
-    commands.emplace_back(makeFinishDecision(row, outcome, code, now));
-    commands.emplace_back(makeMeasurement(row, outcome, code, wastedTokens, now));
-    requests_.erase(RequestId(row.call.request));
+    finisher_.refuse(*row, notice.error, notice.outcome, now, commands);
 }
 
 void IngressSystem::tick(TimePoint now, Commands &commands)
@@ -611,7 +554,8 @@
     for (const RequestId &id : late) {
         RequestRow &row = *requests_.edit(id);
         seats_.cancel(row, commands);
-        giveUp(row, { ResultCode::DeadlineUnreachable, "no seat was free in time", DefaultRetryAfter }, now, commands);
+        finisher_.giveUp(
+            row, { ResultCode::DeadlineUnreachable, "no seat was free in time", DefaultRetryAfter }, now, commands);
     }
 }
 
--- a/servers/ingress/ingress_system.h
+++ b/servers/ingress/ingress_system.h
@@ -8,6 +8,7 @@
 
 #include "core/core.h"
 #include "servers/claims/claims.h"
+#include "servers/ingress/request_finisher.h"
 #include "servers/ingress/request_table.h"
 #include "servers/ingress/seat_client.h"
 #include "servers/membership/membership.h"
@@ -42,7 +43,10 @@
     void probed(const ProbeResult &result, TimePoint now, Commands &commands);
 
     void claimNoticed(const ClaimNotice &notice, TimePoint now, Commands &commands);
-    void statusKnown(const ClaimStatus &status, Commands &commands);
+    void statusKnown(const ClaimStatus &status, TimePoint now, Commands &commands)
+    {
+        finisher_.statusKnown(status, now, commands);
+    }
 
     /** Asks the schedulers of the present view for the seats that are still wanted, and registers running attempts with
      *  them. To be called after each change of the membership view. */
@@ -67,17 +71,6 @@
     void takeCompletionEvent(RequestRow &row, const std::string &data, TimePoint now, Commands &commands);
     void noteFirstToken(RequestRow &row, TimePoint now, Commands &commands);
 
-    void completeCompletion(RequestRow &row, TimePoint now, Commands &commands);
-    void completeWhole(RequestRow &row, const RecordedAnswer &answer, TimePoint now, Commands &commands);
-    /** Ends the request with an error; the outcome follows from what has happened to it. */
-    void giveUp(RequestRow &row, Error error, TimePoint now, Commands &commands);
-    void finish(RequestRow &row,
-                Outcome outcome,
-                ResultCode code,
-                std::uint32_t wastedTokens,
-                TimePoint now,
-                Commands &commands);
-
     void takeNotice(const ClaimAbsent &notice, TimePoint now, Commands &commands);
     void takeNotice(const ClaimHeld &notice, TimePoint now, Commands &commands);
     void takeNotice(const ClaimReplay &notice, TimePoint now, Commands &commands);
@@ -90,6 +83,7 @@
     const MembershipSystem &membership_;
     RequestTable requests_;
     SeatClient seats_;
+    RequestFinisher finisher_;
     CatalogPtr catalog_;
 };
 
--- a/servers/ingress/request_row.h
+++ b/servers/ingress/request_row.h
@@ -27,6 +27,8 @@
     Probing,
     /** At a node of another data centre. */
     Forwarded,
+    /** Non-idempotent and given up: the key is read once more before "not run" is said. */
+    ConfirmingNotRun,
     /** A question about a key, with GET /v1/requests/KEY. */
     AskingStatus,
 };
@@ -71,6 +73,10 @@
     std::string body;
     UpstreamHead head;
     std::vector<UpstreamName> excluded;
+    /** When the key's row was last known not to have run. */
+    std::optional<TimePoint> keyReadAt;
+    /** Why the request was given up, in phase ConfirmingNotRun. */
+    Error pendingError;
     /** From arrival to the first token or byte of the first attempt that gave one. */
     std::optional<Duration> firstToken;
     std::uint32_t attempts = 0;
@@ -82,6 +88,12 @@
     bool paused = false;
     bool spillTried = false;
 
+    /** True if the answer has as many tokens as the caller allows. */
+    bool atTokenLimit() const
+    {
+        return completion.has_value() && completion->maxTokens() > 0 && answer.tokens() >= completion->maxTokens();
+    }
+
     bool streamed() const { return completion.has_value() && completion->streamed(); }
 };
 
--- a/servers/scheduling/scheduling_system.cpp
+++ b/servers/scheduling/scheduling_system.cpp
@@ -32,6 +32,7 @@
     std::unordered_map<UpstreamName, ShardKey> shardByUpstream;
     std::set<UpstreamName> leaving;
     std::set<UpstreamName> held;
+    std::map<UpstreamName, TimePoint> awaitedUntil;
     double seatShare = 1.0;
 };
 
@@ -50,6 +51,10 @@
     for (const UpstreamName &upstream : members) {
         created->setLeaving(upstream, leaving.count(upstream) > 0);
         created->setHeld(upstream, held.count(upstream) > 0);
+        const std::map<UpstreamName, TimePoint>::const_iterator awaited = awaitedUntil.find(upstream);
+        if (awaited != awaitedUntil.end()) {
+            created->awaitReport(upstream, awaited->second);
+        }
     }
     return shards.emplace(shard, std::move(created)).first->second.get();
 }
@@ -153,6 +158,7 @@
     if (report.leaving) {
         state_->leaving.insert(report.upstream);
     }
+    state_->awaitedUntil.erase(report.upstream);
     state_->ensure(found->second)->loadReported(report, now);
 }
 
@@ -187,6 +193,14 @@
     }
 }
 
+void SchedulingSystem::awaitReport(const UpstreamName &upstream, TimePoint until)
+{
+    state_->awaitedUntil[upstream] = until;
+    if (ShardScheduler *scheduler = state_->findByUpstream(upstream); scheduler != nullptr) {
+        scheduler->awaitReport(upstream, until);
+    }
+}
+
 void SchedulingSystem::nodeLost(const NodeName &node, TimePoint now, Commands &commands)
 {
     for (const auto &[shard, scheduler] : state_->shards) {
--- a/servers/scheduling/scheduling_system.h
+++ b/servers/scheduling/scheduling_system.h
@@ -44,11 +44,16 @@
     /** True if orders currently take the upstream out of service (see the orders package). */
     void upstreamHeld(const UpstreamName &upstream, bool held, TimePoint now);
 
+    /** This node has become the scheduler of the upstream: it gets no grant until it has reported, or until the given
+     *  time, so that one that is leaving is not given work by a scheduler that has not heard so. */
+    void awaitReport(const UpstreamName &upstream, TimePoint until);
+
     /** Frees the seats and queue places of an ingress node that is gone. */
     void nodeLost(const NodeName &node, TimePoint now, Commands &commands);
 
     /** Tells which share of every upstream's seats this node may use, when it schedules for a shard without being its
-     *  agreed scheduler (nobody else reachable). 1 is all. */
+     *  agreed scheduler (nobody else reachable). 1 is all. The highest tier is not bound by a smaller share: engines
+     * serve it first, whoever granted the rest. */
     void setSeatShare(double share);
 
     /** Grants, refuses and pauses; to be called every few milliseconds. */
--- a/servers/scheduling/seats.cpp
+++ b/servers/scheduling/seats.cpp
@@ -39,7 +39,7 @@
 
 bool hasFreeSeat(const ShardState &state, const UpstreamState &upstream, TimePoint now)
 {
-    if (!upstream.open() || upstream.ejected || now < upstream.closedUntil) {
+    if (!upstream.open() || upstream.ejected || now < upstream.closedUntil || now < upstream.awaitedUntil) {
         return false;
     }
     // After failures one attempt at a time shows whether the upstream works again.
--- a/servers/scheduling/shard_scheduler.cpp
+++ b/servers/scheduling/shard_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "servers/scheduling/alone_grants.h"
 #include "servers/scheduling/answers.h"
 #include "servers/scheduling/grant_system.h"
 #include "servers/scheduling/health_system.h"
@@ -106,6 +107,7 @@
     const ClassRank rank { waiting.tier, waiting.group, request.requestClass };
     state_.queue.push(waiting);
     grantSeats(state_, now, commands);
+    grantAlone(state_, now, commands);
     shedUnreachableOf(state_, rank, request.team, now, commands);
 }
 
@@ -185,6 +187,7 @@
     upstream->leavingByNotice = upstream->leavingByNotice || report.leaving;
     upstream->reported = report.running + report.waiting;
     upstream->reportedAt = now;
+    upstream->awaitedUntil = TimePoint {};
 }
 
 void ShardScheduler::cacheChanged(const CacheEvent &event)
@@ -202,6 +205,13 @@
     }
 }
 
+void ShardScheduler::awaitReport(const UpstreamName &upstream, TimePoint until)
+{
+    if (UpstreamState *row = state_.upstreams.edit(upstream); row != nullptr) {
+        row->awaitedUntil = until;
+    }
+}
+
 void ShardScheduler::setHeld(const UpstreamName &upstream, bool held)
 {
     if (UpstreamState *row = state_.upstreams.edit(upstream); row != nullptr) {
@@ -241,6 +251,7 @@
         review(now, commands);
     }
     grantSeats(state_, now, commands);
+    grantAlone(state_, now, commands);
     if (now >= nextPause_) {
         nextPause_ = now + PauseInterval;
         pauseForHigherTiers(state_, now, commands);
--- a/servers/scheduling/upstream_state.h
+++ b/servers/scheduling/upstream_state.h
@@ -32,6 +32,9 @@
     /** Requests in the last load report. */
     std::uint32_t reported = 0;
     TimePoint reportedAt;
+    /** No new attempt before this, unless it reports sooner: a scheduler that has just taken the shard over does not
+     * know yet whether the upstream is leaving. */
+    TimePoint awaitedUntil;
 
     /** Attempts that were lost or refused since the last one that was not. */
     std::uint32_t failures = 0;
