Pause lower tiers before a higher tier is refused; count on the guarantee

Requests that the class's guarantee alone will serve in time are no longer refused either, so that the lowest tier has something to be served under a lasting overload.

The checker takes seats of engines that are slow or ejected as none that a higher tier could have had; the new test fails without the change.

--- a/development/bench/bench_shape.cpp
+++ b/development/bench/bench_shape.cpp
@@ -84,6 +84,21 @@
     return shape;
 }
 
+BenchShape liveOverloadShape()
+{
+    BenchShape shape;
+    shape.name = "live-overload";
+    shape.engines = 10;
+    // Ten engines of eight seats answer about 19 live questions a second.
+    shape.sources = { liveSource("live", 21.0), longSource("letter", 1.0, 6000.0, 900.0) };
+    return shape;
+}
+
+std::vector<BenchShape> allShapes()
+{
+    return { monthEndShape(), afterSchoolShape(), liveOverloadShape() };
+}
+
 std::string faultName(BenchFault fault)
 {
     switch (fault) {
--- a/development/bench/bench_shape.h
+++ b/development/bench/bench_shape.h
@@ -73,6 +73,13 @@
 /** After-school rush: history reviews, counter chat at three times its usual rate, job tickets. */
 BenchShape afterSchoolShape();
 
+/** Live questions alone at a tenth above the capacity, next to letters: shows whether the lowest tier is still served.
+ */
+BenchShape liveOverloadShape();
+
+/** All shapes. */
+std::vector<BenchShape> allShapes();
+
 /** Name as on the command line. */
 std::string faultName(BenchFault fault);
 
--- a/development/bench/invariant_checker.cpp
+++ b/development/bench/invariant_checker.cpp
@@ -26,9 +26,9 @@
 void InvariantChecker::noteDecision(const Decision &decision)
 {
     if (decision.kind == "eject") {
-        ejected_.insert(decision.fields.front().second);
+        ejected_.insert(UpstreamName(decision.fields.front().second));
     } else if (decision.kind == "readmit") {
-        ejected_.erase(decision.fields.front().second);
+        ejected_.erase(UpstreamName(decision.fields.front().second));
     }
 }
 
@@ -57,7 +57,8 @@
         const bool lower = other.phase == Phase::Running && other.shard == refused.shard
             && other.scheduler == refused.scheduler && other.requestClass.tier > refused.requestClass.tier;
         const bool pausable = other.requestClass.preemptible && !other.pausing && !other.guaranteed;
-        if (lower && pausable) {
+        const bool usable = ejected_.count(other.upstream) == 0 && slow_.count(other.upstream) == 0;
+        if (lower && pausable && usable) {
             report(describe(refused) + " was refused while " + describe(other) + " kept its seat");
             return;
         }
--- a/development/bench/simulated_request.h
+++ b/development/bench/simulated_request.h
@@ -30,6 +30,7 @@
     std::vector<UpstreamName> excluded;
     AttemptId attempt;
     std::size_t engine = 0;
+    UpstreamName upstream;
     TimePoint dispatched;
     TimePoint lastProgress;
     bool pausing = false;
--- a/development/bench/simulation.cpp
+++ b/development/bench/simulation.cpp
@@ -152,6 +152,7 @@
     if (run_.fault == BenchFault::Straggler && !faultBegun_ && progress >= 0.2) {
         faultBegun_ = true;
         engines_[FaultyEngine].setSlowdown(StragglerSlowdown);
+        checker_.noteSlow(engineNames_[FaultyEngine]);
     }
     const Duration crashAt = run_.length * 2 / 5;
     if (run_.fault == BenchFault::Crash && !faultBegun_ && elapsed() >= crashAt) {
@@ -329,6 +330,7 @@
     request.phase = Phase::Running;
     request.attempt = grant.attempt;
     request.engine = engine;
+    request.upstream = grant.upstream;
     request.dispatched = clock_.now();
     request.lastProgress = clock_.now();
     request.pausing = false;
--- a/servers/scheduling/grant_system.cpp
+++ b/servers/scheduling/grant_system.cpp
@@ -69,14 +69,13 @@
     return count;
 }
 
-/** The guarantee is a share of the grants, and also of the seats: at least one, since long answers hold theirs long. */
+/** The guarantee is a share of the grants, and also of the seats, since long answers hold theirs long. */
 bool mayUseGuarantee(const ShardState &state, const RequestClass &requestClass)
 {
     if (!state.guarantees.due(requestClass.name)) {
         return false;
     }
-    const std::uint32_t seats = seatsOfShard(state) * requestClass.guaranteedPerMille / 1000;
-    return guaranteedRunning(state, requestClass.name) < std::max<std::uint32_t>(1, seats);
+    return guaranteedRunning(state, requestClass.name) < guaranteedSeats(state, requestClass);
 }
 
 /** Seats that were freed by pausing belong to the tier for which the pause was made. */
--- a/servers/scheduling/preemption_system.cpp
+++ b/servers/scheduling/preemption_system.cpp
@@ -58,17 +58,25 @@
     return std::chrono::duration<double>(std::min(waiting.lateFrom, waiting.deadline) - now).count();
 }
 
-void pause(ShardState &state, AttemptId id, const WaitingRequest &waiting, TimePoint now, Commands &commands)
+} // namespace
+
+bool pauseOneFor(ShardState &state, const WaitingRequest &waiting, TimePoint now, Commands &commands)
 {
-    RunningAttempt &attempt = *state.running.edit(id);
+    if (!state.running.hasPreemptibleBelow(waiting.tier)) {
+        return false;
+    }
+    const RunningAttempt *victim = chooseVictim(state, waiting, now);
+    if (victim == nullptr) {
+        return false;
+    }
+    RunningAttempt &attempt = *state.running.edit(victim->attempt);
     attempt.pausing = true;
     ++state.pausing;
     commands.push_back(PeerSend { attempt.ingress, AttemptPause { attempt.attempt, attempt.request } });
     commands.push_back(pauseDecision(attempt, waiting, now));
+    return true;
 }
 
-} // namespace
-
 void pauseForHigherTiers(ShardState &state, TimePoint now, Commands &commands)
 {
     if (state.queue.empty()) {
@@ -93,11 +101,9 @@
             if (slack > 0.0 && wait <= slack) {
                 continue;
             }
-            const RunningAttempt *victim = chooseVictim(state, waiting, now);
-            if (victim == nullptr) {
+            if (!pauseOneFor(state, waiting, now, commands)) {
                 break;
             }
-            pause(state, victim->attempt, waiting, now, commands);
             ++coming;
         }
     }
--- a/servers/scheduling/seats.cpp
+++ b/servers/scheduling/seats.cpp
@@ -67,6 +67,11 @@
     return seats;
 }
 
+std::uint32_t guaranteedSeats(const ShardState &state, const RequestClass &requestClass)
+{
+    return std::max<std::uint32_t>(1, seatsOfShard(state) * requestClass.guaranteedPerMille / 1000);
+}
+
 bool excludes(const SlotRequest &request, const UpstreamName &upstream)
 {
     return std::find(request.excluded.begin(), request.excluded.end(), upstream) != request.excluded.end();
--- a/servers/scheduling/seats.h
+++ b/servers/scheduling/seats.h
@@ -20,6 +20,9 @@
 /** Usable seats of all upstreams that are open and not ejected. */
 std::uint32_t seatsOfShard(const ShardState &state);
 
+/** Seats that a class may hold by its guarantee: at least one. */
+std::uint32_t guaranteedSeats(const ShardState &state, const RequestClass &requestClass);
+
 /** True if the request excludes the upstream. */
 bool excludes(const SlotRequest &request, const UpstreamName &upstream);
 
--- a/servers/scheduling/shedding_system.cpp
+++ b/servers/scheduling/shedding_system.cpp
@@ -1,6 +1,7 @@
 #include "servers/scheduling/shedding_system.h"
 
 #include "servers/scheduling/answers.h"
+#include "servers/scheduling/preemption_system.h"
 #include "servers/scheduling/wait_estimate.h"
 
 namespace GeraniumLever {
@@ -15,12 +16,16 @@
 {
     std::optional<WaitLine> onTime;
     std::optional<WaitLine> late;
+    /** Served by the guarantee of the class alone, on time or not. */
+    std::optional<WaitLine> guaranteed;
 };
 
 ClassWaits waitsOf(const ShardState &state, const ClassRank &rank, TimePoint now)
 {
     const ClassRank late { rank.tier, ServiceGroup::Late, rank.name };
-    return ClassWaits { expectedWait(state, rank, now), expectedWait(state, late, now) };
+    return ClassWaits { expectedWait(state, rank, now),
+                        expectedWait(state, late, now),
+                        guaranteedWait(state, rank, now) };
 }
 
 bool fits(const std::optional<WaitLine> &wait, std::size_t ahead, TimePoint latest, TimePoint now)
@@ -33,6 +38,9 @@
     const ShardState &state, const ClassRank &rank, const ClassWaits &waits, const WaitingRequest &last, TimePoint now)
 {
     const std::size_t ahead = state.queue.expectedAhead(rank, last.request.team);
+    if (waits.guaranteed && fits(waits.guaranteed, ahead, last.deadline, now)) {
+        return true;
+    }
     if (rank.group == ServiceGroup::Late) {
         return fits(waits.late, ahead, last.deadline, now);
     }
@@ -49,7 +57,7 @@
                 Commands &commands)
 {
     while (const WaitingRequest *last = state.queue.lastOf(rank, team)) {
-        if (isReachable(state, rank, waits, *last, now)) {
+        if (isReachable(state, rank, waits, *last, now) || pauseOneFor(state, *last, now, commands)) {
             return;
         }
         refuse(state, last->request.request, ResultCode::Shed, now, commands);
--- a/servers/scheduling/wait_estimate.cpp
+++ b/servers/scheduling/wait_estimate.cpp
@@ -39,6 +39,17 @@
     return work;
 }
 
+/** Number of the class's requests that are served before those of the group. */
+double requestsOfEarlierGroups(const ShardState &state, const ClassRank &rank)
+{
+    double requests = 0.0;
+    for (const ServiceGroup group : { ServiceGroup::Resumed, ServiceGroup::OnTime }) {
+        const bool earlier = group < rank.group;
+        requests += earlier ? static_cast<double>(state.queue.sizeOf({ rank.tier, group, rank.name })) : 0.0;
+    }
+    return requests;
+}
+
 /** Seats that arrivals to come will claim before the class's group: those of higher tiers, and of the own tier as well
  * if the group is the last one. */
 double claimedSeats(const ShardState &state, const ClassRank &rank, TimePoint now)
@@ -67,6 +78,26 @@
     return WaitLine { workBefore(state, rank) / available, *own / available };
 }
 
+std::optional<WaitLine> guaranteedWait(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    const RequestClass *requestClass = state.classOf(rank.name);
+    const double seatSeconds = state.classes.seatSeconds(rank.name).value_or(0.0);
+    if (requestClass == nullptr || requestClass->guaranteedPerMille == 0 || seatSeconds == 0.0) {
+        return std::nullopt;
+    }
+    double grantRate = 0.0;
+    for (const auto &[name, other] : state.catalog->classes()) {
+        grantRate += state.classes.grantRate(name, now);
+    }
+    if (grantRate < MinGrantRate) {
+        return std::nullopt;
+    }
+    const double byGrants = 1000.0 / (requestClass->guaranteedPerMille * grantRate);
+    const double bySeats = seatSeconds / guaranteedSeats(state, *requestClass);
+    const double interval = std::max(byGrants, bySeats);
+    return WaitLine { requestsOfEarlierGroups(state, rank) * interval + interval, interval };
+}
+
 Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass)
 {
     const double rate = state.speeds.prefillRate(UpstreamName()).value_or(0.0);
--- a/servers/scheduling/wait_estimate.h
+++ b/servers/scheduling/wait_estimate.h
@@ -20,6 +20,11 @@
  */
 std::optional<WaitLine> expectedWait(const ShardState &state, const ClassRank &rank, TimePoint now);
 
+/** The wait of a class that gets no seats but its guaranteed ones; nothing if it has none or too little has been
+ * measured.
+ */
+std::optional<WaitLine> guaranteedWait(const ShardState &state, const ClassRank &rank, TimePoint now);
+
 /** How long a new request may wait for a seat and still meet its target for the first token. */
 Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass);
 
--- a/tests/servers/scheduling/scheduling_policy_test.cpp
+++ b/tests/servers/scheduling/scheduling_policy_test.cpp
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include "tests/servers/scheduling/scheduling_fixture.h"
 
 namespace GeraniumLever {
@@ -128,6 +130,51 @@
     EXPECT_GE(sent<SlotRefusal>().size(), before);
 }
 
+TEST_F(SchedulingPolicyTest, PausesLowerTiersBeforeItRefusesAHigherOne)
+{
+    useCatalog(1, 4);
+    teachSeatTime("live", std::chrono::seconds(30));
+    teachSeatTime("letter", std::chrono::seconds(60));
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        ask(number, number <= 2 ? "letter" : "live");
+    }
+    std::uint64_t number = 100;
+    while (sent<SlotRefusal>().empty() && number < 200) {
+        ask(number++, "live");
+        clock_.advance(std::chrono::milliseconds(1));
+    }
+    EXPECT_FALSE(sent<SlotRefusal>().empty());
+    EXPECT_EQ(sent<AttemptPause>().size(), 2U);
+}
+
+TEST_F(SchedulingPolicyTest, AnOverloadedHigherTierDoesNotStarveTheLowest)
+{
+    useCatalog(1, 4);
+    teachSeatTime("letter", std::chrono::milliseconds(40));
+    constexpr std::uint64_t FirstLetter = 100000;
+    std::deque<SlotGrant> running;
+    std::size_t letters = 0;
+    // Every 10 ms one seat becomes free, and two requests of the highest tier and one of the lowest arrive.
+    for (std::uint64_t round = 0; round < 3000; ++round) {
+        ask(2 * round, "live");
+        ask(2 * round + 1, "live");
+        ask(FirstLetter + round, "letter");
+        run(std::chrono::milliseconds(10));
+        if (!running.empty()) {
+            end(running.front(), AttemptEnding::Completed);
+            running.pop_front();
+        }
+        for (const SlotGrant &grant : sent<SlotGrant>()) {
+            letters += grant.request.sequence() >= FirstLetter ? 1 : 0;
+            running.push_back(grant);
+        }
+        commands_.clear();
+    }
+    // The guarantee is 2% of the 3000 grants.
+    EXPECT_GE(letters, 50U);
+    EXPECT_LE(letters, 120U);
+}
+
 TEST_F(SchedulingPolicyTest, AFullQueueDropsTheNewestOfTheLowestTier)
 {
     useCatalog(1, 1);
