--- a/servers/ingress/completion_body.cpp
+++ b/servers/ingress/completion_body.cpp
@@ -52,6 +52,23 @@
     return true;
 }
 
+/** Adds the answer so far as the last message, or to the last message of a request that is a continuation itself. */
+void appendAnswer(boost::json::object &fields, const std::string &deliveredText)
+{
+    boost::json::array &messages = fields["messages"].as_array();
+    const boost::json::value *continued = fields.if_contains("continue_final_message");
+    boost::json::object *last = messages.back().if_object();
+    boost::json::value *begun = last == nullptr ? nullptr : last->if_contains("content");
+    if (continued != nullptr && *continued == true && begun != nullptr && begun->is_string()) {
+        begun->as_string() += deliveredText;
+        return;
+    }
+    boost::json::object answer;
+    answer["role"] = "assistant";
+    answer["content"] = deliveredText;
+    messages.emplace_back(std::move(answer));
+}
+
 } // namespace
 
 Result<CompletionBody> CompletionBody::parse(const std::string &text, bool chat)
@@ -114,13 +131,13 @@
         fields["max_tokens"] = maxTokens_ - deliveredTokens;
     }
     if (!chat_) {
-        fields["geranium_continue_text"] = deliveredText;
+        const boost::json::value *begun = fields.if_contains("geranium_continue_text");
+        const std::string earlier =
+            begun != nullptr && begun->is_string() ? std::string(begun->as_string()) : std::string();
+        fields["geranium_continue_text"] = earlier + deliveredText;
         return boost::json::serialize(fields);
     }
-    boost::json::object answer;
-    answer["role"] = "assistant";
-    answer["content"] = deliveredText;
-    fields["messages"].as_array().emplace_back(std::move(answer));
+    appendAnswer(fields, deliveredText);
     fields["add_generation_prompt"] = false;
     fields["continue_final_message"] = true;
     return boost::json::serialize(fields);
--- a/servers/ingress/dispatch_builder.cpp
+++ b/servers/ingress/dispatch_builder.cpp
@@ -75,8 +75,11 @@
     dispatch.path = row.call.target;
     dispatch.contentType = row.call.contentType;
     dispatch.body = row.call.body;
+    if (row.completion && row.requestClass.idempotent) {
+        dispatch.body = row.completion->engineBody(row.requestClass.tier, row.answer.text(), row.answer.tokens());
+        dispatch.streamed = true;
+    }
     dispatch.priority = row.requestClass.tier;
-    dispatch.streamed = row.streamed();
     dispatch.freshConnection = !row.requestClass.idempotent;
     dispatch.silenceLimit = timeLeft + ServiceSilence;
     dispatch.headers = {
--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -132,7 +132,7 @@
 
 void IngressSystem::askForSeat(RequestRow &row, TimePoint now, Commands &commands)
 {
-    if (seats_.ask(row, now, commands) || forward(row, now, commands)) {
+    if (seats_.ask(row, now, commands) || forward(row, row.deadline - now, now, commands)) {
         return;
     }
     finisher_.giveUp(
@@ -176,7 +176,7 @@
     if (row == nullptr || !seats_.expects(*row, from)) {
         return;
     }
-    if (forward(*row, now, commands)) {
+    if (forward(*row, row->deadline - now, now, commands)) {
         return;
     }
     finisher_.giveUp(*row, { refusal.code, "no seat can be had in time", refusal.retryAfter }, now, commands);
@@ -204,12 +204,12 @@
     askForSeat(*row, now, commands);
 }
 
-bool IngressSystem::forward(RequestRow &row, TimePoint now, Commands &commands)
+bool IngressSystem::forward(RequestRow &row, Duration timeLeft, TimePoint now, Commands &commands)
 {
-    if (row.call.forwarded || row.spillTried || row.begun || now >= row.deadline) {
+    const bool repeatable = row.requestClass.idempotent || !row.begun;
+    if (row.call.forwarded || row.spillTried || !repeatable || timeLeft <= Duration(0)) {
         return false;
     }
-    const Duration timeLeft = row.deadline - now;
     const std::uint64_t spread = row.call.request.sequence();
     const std::optional<NodeAddress> node =
         chooseSpillTarget(membership_, row.pool, row.requestClass.tier, timeLeft, spread);
@@ -221,8 +221,12 @@
         claims_.abandoned(row.call.request, now, commands);
     }
     row.spillTried = true;
+    row.begunBeforeForward = row.begun;
     row.begun = true;
     row.phase = RequestPhase::Forwarded;
+    row.head = UpstreamHead {};
+    row.body.clear();
+    row.answer.beginContinuation();
     RunningAttempt attempt;
     attempt.attempt = AttemptId(~origin_, ++lastForward_);
     attempt.dispatchedAt = now;
@@ -232,10 +236,24 @@
     addField(decision, "node", node->node.text());
     addField(decision, "data_center", node->dataCenter.text());
     commands.emplace_back(std::move(decision));
-    commands.emplace_back(makeForward(row, *node, meshKey_, timeLeft));
+    commands.emplace_back(makeForward(row, *node, meshKey_, row.deadline - now));
     return true;
 }
 
+void IngressSystem::forwardIfLocalQueueIsSlow(RequestRow &row, TimePoint now, Commands &commands)
+{
+    const Duration target = row.requestClass.firstTokenTarget;
+    if (now - row.waitingSince < target) {
+        return;
+    }
+    const SlotCancel cancel { row.call.request, row.shard };
+    const NodeName scheduler = row.scheduler;
+    row.waitingSince = now;
+    if (forward(row, std::min(target, row.deadline - now), now, commands)) {
+        commands.emplace_back(PeerSend { scheduler, cancel });
+    }
+}
+
 void IngressSystem::schedulersChanged(const std::vector<NodeName> &lost, TimePoint now, Commands &commands)
 {
     seats_.follow(lost, now, commands);
@@ -378,8 +396,10 @@
         attemptLost(*row, { ResultCode::AnswerIncomplete, "the answer ended early", std::nullopt }, now, commands);
         return;
     }
-    const bool failed = row->head.status >= HttpInternalError || row->headSent;
-    if (row->phase == RequestPhase::Running && row->requestClass.idempotent && failed) {
+    // Text that the caller or the assembler already has can only be followed by more of the same answer.
+    const bool begunText = row->headSent || row->answer.tokens() > 0;
+    const bool engineFailed = row->phase == RequestPhase::Running && row->head.status >= HttpInternalError;
+    if (row->requestClass.idempotent && (begunText || engineFailed)) {
         attemptLost(*row, { ResultCode::UpstreamLost, "the upstream failed", std::nullopt }, now, commands);
         return;
     }
@@ -395,7 +415,7 @@
     const bool forwarded = row->phase == RequestPhase::Forwarded;
     if (failure.kind == UpstreamFailure::Kind::NotConnected) {
         if (forwarded) {
-            row->begun = false;
+            row->begun = row->begunBeforeForward;
         }
         row->excluded.push_back(row->running.upstream);
         seats_.end(*row, AttemptEnding::Refused, 0, commands);
@@ -544,6 +564,11 @@
     for (auto &[id, row] : requests_) {
         if (row.phase == RequestPhase::WaitingForSeat && now >= row.deadline) {
             late.push_back(id);
+            continue;
+        }
+        if (row.phase == RequestPhase::WaitingForSeat) {
+            forwardIfLocalQueueIsSlow(row, now, commands);
+            continue;
         }
         if (row.phase != RequestPhase::Running || now < row.running.progressDueAt) {
             continue;
--- a/servers/ingress/ingress_system.h
+++ b/servers/ingress/ingress_system.h
@@ -63,7 +63,10 @@
 
 private:
     void askForSeat(RequestRow &row, TimePoint now, Commands &commands);
-    bool forward(RequestRow &row, TimePoint now, Commands &commands);
+    /** Hands the request, or the rest of its answer, to a node of a data centre that is expected to start it within the
+     *  time left; false if there is none, or the request may not be forwarded. */
+    bool forward(RequestRow &row, Duration timeLeft, TimePoint now, Commands &commands);
+    void forwardIfLocalQueueIsSlow(RequestRow &row, TimePoint now, Commands &commands);
     void dispatch(RequestRow &row, TimePoint now, Commands &commands);
     void retry(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
     /** upstreamWell: true if only the connection was lost, so that the same upstream may be asked again. */
--- a/servers/ingress/request_row.h
+++ b/servers/ingress/request_row.h
@@ -87,6 +87,10 @@
     bool callerGone = false;
     bool paused = false;
     bool spillTried = false;
+    /** What begun was before the request was forwarded. */
+    bool begunBeforeForward = false;
+    /** When the request last joined a scheduler's queue, or another data centre was last considered for it. */
+    TimePoint waitingSince;
 
     /** True if the answer has as many tokens as the caller allows. */
     bool atTokenLimit() const
--- a/servers/ingress/seat_client.cpp
+++ b/servers/ingress/seat_client.cpp
@@ -23,6 +23,7 @@
 {
     const std::vector<ShardKey> shards = shardsOf(*catalog_, membership_.self().dataCenter, row.pool);
     row.phase = RequestPhase::WaitingForSeat;
+    row.waitingSince = now;
     if (shards.empty()) {
         return false;
     }
--- a/tests/servers/ingress/completion_body_test.cpp
+++ b/tests/servers/ingress/completion_body_test.cpp
@@ -26,5 +26,15 @@
     EXPECT_NE(body.find(R"("priority":2)"), std::string::npos);
 }
 
+TEST(CompletionBodyTest, ContinuationOfAContinuationStaysOneMessage)
+{
+    const std::string text = R"({"model":"m","continue_final_message":true,"messages":[)"
+                             R"({"role":"user","content":"hi"},{"role":"assistant","content":"one "}]})";
+    const Result<CompletionBody> parsed = CompletionBody::parse(text, true);
+    ASSERT_TRUE(succeeded(parsed));
+    const std::string body = valueOf(parsed).engineBody(0, "two ", 1);
+    EXPECT_NE(body.find(R"({"role":"assistant","content":"one two "})"), std::string::npos);
+}
+
 } // namespace
 } // namespace GeraniumLever
