--- a/servers/scheduling/grant_system.cpp
+++ b/servers/scheduling/grant_system.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "servers/scheduling/answers.h"
+#include "servers/scheduling/headroom.h"
 #include "servers/scheduling/seats.h"
 
 namespace GeraniumLever {
@@ -13,6 +14,12 @@
 /** Requests of a class that are tried when the first one's upstreams are all taken. */
 constexpr std::size_t MaxCandidates = 8;
 
+/** Resumed requests that are compared. */
+constexpr std::size_t MaxResumedCandidates = 32;
+
+/** A resumed request that has waited for this long is served before those that are cheaper to resume. */
+constexpr Duration ResumePatience = std::chrono::seconds(10);
+
 struct Placement
 {
     RequestId request;
@@ -35,6 +42,23 @@
     return std::nullopt;
 }
 
+/** The resumed request that has the least to compute again at a free upstream, unless one has waited for too long. */
+std::optional<Placement> placeResumed(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    if (now - state.queue.oldestOf(rank)->arrived > ResumePatience) {
+        return placeFirst(state, rank, TierOrderReason, now);
+    }
+    std::optional<Placement> best;
+    for (const RequestId &candidate : state.queue.candidates(rank, MaxResumedCandidates)) {
+        const SlotRequest &request = state.queue.find(candidate)->request;
+        const std::optional<UpstreamChoice> choice = chooseUpstream(state, request, now);
+        if (choice && (!best || choice->uncachedTokens < best->choice.uncachedTokens)) {
+            best = Placement { candidate, *choice, TierOrderReason };
+        }
+    }
+    return best;
+}
+
 /** Attempts of the class that run on guaranteed seats. */
 std::uint32_t guaranteedRunning(const ShardState &state, const ClassName &requestClass)
 {
@@ -45,14 +69,13 @@
     return count;
 }
 
-/** The guarantee is a share of the grants, and also of the seats: at least one, since long answers hold theirs long. */
+/** The guarantee is a share of the grants, and also of the seats, since long answers hold theirs long. */
 bool mayUseGuarantee(const ShardState &state, const RequestClass &requestClass)
 {
     if (!state.guarantees.due(requestClass.name)) {
         return false;
     }
-    const std::uint32_t seats = seatsOfShard(state) * requestClass.guaranteedPerMille / 1000;
-    return guaranteedRunning(state, requestClass.name) < std::max<std::uint32_t>(1, seats);
+    return guaranteedRunning(state, requestClass.name) < guaranteedSeats(state, requestClass);
 }
 
 /** Seats that were freed by pausing belong to the tier for which the pause was made. */
@@ -96,8 +119,21 @@
 
 std::optional<Placement> placeByTier(const ShardState &state, const std::vector<ClassRank> &ranks, TimePoint now)
 {
+    const std::uint32_t free = freeSeatsOfShard(state, now);
+    std::optional<std::uint32_t> blockedTier;
     for (const ClassRank &rank : ranks) {
-        if (std::optional<Placement> placement = placeFirst(state, rank, TierOrderReason, now); placement) {
+        if (blockedTier && rank.tier > *blockedTier) {
+            // What a tier leaves to those above it is not for those below it.
+            return std::nullopt;
+        }
+        if (free <= headroomAbove(state, rank, now)) {
+            blockedTier = rank.tier;
+            continue;
+        }
+        std::optional<Placement> placement = rank.group == ServiceGroup::Resumed
+            ? placeResumed(state, rank, now)
+            : placeFirst(state, rank, TierOrderReason, now);
+        if (placement) {
             return placement;
         }
     }
--- a/servers/scheduling/seats.cpp
+++ b/servers/scheduling/seats.cpp
@@ -39,7 +39,7 @@
 
 bool hasFreeSeat(const ShardState &state, const UpstreamState &upstream, TimePoint now)
 {
-    if (!upstream.open() || upstream.ejected || now < upstream.closedUntil) {
+    if (!upstream.open() || upstream.ejected || now < upstream.closedUntil || now < upstream.awaitedUntil) {
         return false;
     }
     // After failures one attempt at a time shows whether the upstream works again.
@@ -67,6 +67,11 @@
     return seats;
 }
 
+std::uint32_t guaranteedSeats(const ShardState &state, const RequestClass &requestClass)
+{
+    return std::max<std::uint32_t>(1, seatsOfShard(state) * requestClass.guaranteedPerMille / 1000);
+}
+
 bool excludes(const SlotRequest &request, const UpstreamName &upstream)
 {
     return std::find(request.excluded.begin(), request.excluded.end(), upstream) != request.excluded.end();
--- a/servers/scheduling/shard_scheduler.h
+++ b/servers/scheduling/shard_scheduler.h
@@ -22,6 +22,7 @@
     void cacheChanged(const CacheEvent &event);
     void setLeaving(const UpstreamName &upstream, bool leaving);
     void setHeld(const UpstreamName &upstream, bool held);
+    void awaitReport(const UpstreamName &upstream, TimePoint until);
     void setSeatShare(double share) { state_.seatShare = share; }
     void nodeLost(const NodeName &node, TimePoint now, Commands &commands);
     void tick(TimePoint now, Commands &commands);
@@ -41,7 +42,6 @@
     bool answeredByRunning(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
     bool admit(const NodeName &from, const SlotRequest &request, TimePoint now, Commands &commands);
     WaitingRequest makeWaiting(const NodeName &from, const SlotRequest &request, TimePoint now);
-    void schedule(TimePoint now, Commands &commands);
     void reclassify(TimePoint now, Commands &commands);
     void refuseUnplaceable(TimePoint now, Commands &commands);
     void dropSilent(TimePoint now);
@@ -51,6 +51,7 @@
     /** True until the waiting requests have been compared with a changed catalog or set of upstreams. */
     bool queueOutdated_ = false;
     TimePoint nextReview_;
+    TimePoint nextPause_;
 };
 
 } // namespace GeraniumLever
--- a/servers/scheduling/wait_estimate.cpp
+++ b/servers/scheduling/wait_estimate.cpp
@@ -39,6 +39,17 @@
     return work;
 }
 
+/** Number of the class's requests that are served before those of the group. */
+double requestsOfEarlierGroups(const ShardState &state, const ClassRank &rank)
+{
+    double requests = 0.0;
+    for (const ServiceGroup group : { ServiceGroup::Resumed, ServiceGroup::OnTime }) {
+        const bool earlier = group < rank.group;
+        requests += earlier ? static_cast<double>(state.queue.sizeOf({ rank.tier, group, rank.name })) : 0.0;
+    }
+    return requests;
+}
+
 /** Seats that arrivals to come will claim before the class's group: those of higher tiers, and of the own tier as well
  * if the group is the last one. */
 double claimedSeats(const ShardState &state, const ClassRank &rank, TimePoint now)
@@ -55,16 +66,36 @@
 
 } // namespace
 
-std::optional<double> expectedWait(const ShardState &state, const ClassRank &rank, std::size_t ahead, TimePoint now)
+std::optional<WaitLine> expectedWait(const ShardState &state, const ClassRank &rank, TimePoint now)
 {
     const std::optional<double> own = state.classes.seatSeconds(rank.name);
     const double seats = seatsOfShard(state);
     if (!own || seats == 0.0) {
         return std::nullopt;
     }
-    const double work = static_cast<double>(ahead) * *own + workBefore(state, rank);
-    const double claimed = claimedSeats(state, rank, now) / seats;
-    return work / (seats * (1.0 - std::min(claimed, MaxClaimedShare)));
+    const double claimed = std::min(claimedSeats(state, rank, now) / seats, MaxClaimedShare);
+    const double available = seats * (1.0 - claimed);
+    return WaitLine { workBefore(state, rank) / available, *own / available };
+}
+
+std::optional<WaitLine> guaranteedWait(const ShardState &state, const ClassRank &rank, TimePoint now)
+{
+    const RequestClass *requestClass = state.classOf(rank.name);
+    const double seatSeconds = state.classes.seatSeconds(rank.name).value_or(0.0);
+    if (requestClass == nullptr || requestClass->guaranteedPerMille == 0 || seatSeconds == 0.0) {
+        return std::nullopt;
+    }
+    double grantRate = 0.0;
+    for (const auto &[name, other] : state.catalog->classes()) {
+        grantRate += state.classes.grantRate(name, now);
+    }
+    if (grantRate < MinGrantRate) {
+        return std::nullopt;
+    }
+    const double byGrants = 1000.0 / (requestClass->guaranteedPerMille * grantRate);
+    const double bySeats = seatSeconds / guaranteedSeats(state, *requestClass);
+    const double interval = std::max(byGrants, bySeats);
+    return WaitLine { requestsOfEarlierGroups(state, rank) * interval + interval, interval };
 }
 
 Duration lastChance(const ShardState &state, const SlotRequest &request, const RequestClass &requestClass)
@@ -79,9 +110,9 @@
 double releaseRate(const ShardState &state)
 {
     double rate = 0.0;
-    for (const auto &[id, attempt] : state.running.attempts()) {
-        const std::optional<double> seconds = state.classes.seatSeconds(attempt.requestClass);
-        rate += seconds && *seconds > 0.0 ? 1.0 / *seconds : 0.0;
+    for (const auto &[requestClass, count] : state.running.countsByClass()) {
+        const double seconds = state.classes.seatSeconds(requestClass).value_or(0.0);
+        rate += seconds > 0.0 ? count / seconds : 0.0;
     }
     return rate;
 }
--- a/tests/servers/scheduling/scheduling_policy_test.cpp
+++ b/tests/servers/scheduling/scheduling_policy_test.cpp
@@ -1,3 +1,5 @@
+#include <deque>
+
 #include "tests/servers/scheduling/scheduling_fixture.h"
 
 namespace GeraniumLever {
@@ -59,6 +61,29 @@
     EXPECT_EQ(sent<SlotGrant>().back().request, RequestId(9, 5));
 }
 
+TEST_F(SchedulingPolicyTest, LongWorkLeavesHeadroomToBusyHigherTiers)
+{
+    useCatalog(2, 8);
+    teachSeatTime("letter", std::chrono::seconds(60));
+    for (std::uint64_t number = 1; number <= 40; ++number) {
+        ask(number, "live");
+        clock_.advance(std::chrono::seconds(1));
+        end(sent<SlotGrant>().back(), AttemptEnding::Completed);
+    }
+    commands_.clear();
+    for (std::uint64_t number = 100; number < 130; ++number) {
+        ask(number, "letter");
+    }
+    EXPECT_GE(sent<SlotGrant>().size(), 8U);
+    EXPECT_LT(sent<SlotGrant>().size(), 16U);
+    // Nobody asks for the higher tier any more, so that its seats are given away in the end.
+    run(std::chrono::seconds(60));
+    for (std::uint64_t number = 200; number < 210; ++number) {
+        ask(number, "letter");
+    }
+    EXPECT_EQ(sent<SlotGrant>().size(), 16U);
+}
+
 TEST_F(SchedulingPolicyTest, NeverPausesForTheSameOrALowerTier)
 {
     useCatalog(1, 2);
@@ -105,6 +130,51 @@
     EXPECT_GE(sent<SlotRefusal>().size(), before);
 }
 
+TEST_F(SchedulingPolicyTest, PausesLowerTiersBeforeItRefusesAHigherOne)
+{
+    useCatalog(1, 4);
+    teachSeatTime("live", std::chrono::seconds(30));
+    teachSeatTime("letter", std::chrono::seconds(60));
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        ask(number, number <= 2 ? "letter" : "live");
+    }
+    std::uint64_t number = 100;
+    while (sent<SlotRefusal>().empty() && number < 200) {
+        ask(number++, "live");
+        clock_.advance(std::chrono::milliseconds(1));
+    }
+    EXPECT_FALSE(sent<SlotRefusal>().empty());
+    EXPECT_EQ(sent<AttemptPause>().size(), 2U);
+}
+
+TEST_F(SchedulingPolicyTest, AnOverloadedHigherTierDoesNotStarveTheLowest)
+{
+    useCatalog(1, 4);
+    teachSeatTime("letter", std::chrono::milliseconds(40));
+    constexpr std::uint64_t FirstLetter = 100000;
+    std::deque<SlotGrant> running;
+    std::size_t letters = 0;
+    // Every 10 ms one seat becomes free, and two requests of the highest tier and one of the lowest arrive.
+    for (std::uint64_t round = 0; round < 3000; ++round) {
+        ask(2 * round, "live");
+        ask(2 * round + 1, "live");
+        ask(FirstLetter + round, "letter");
+        run(std::chrono::milliseconds(10));
+        if (!running.empty()) {
+            end(running.front(), AttemptEnding::Completed);
+            running.pop_front();
+        }
+        for (const SlotGrant &grant : sent<SlotGrant>()) {
+            letters += grant.request.sequence() >= FirstLetter ? 1 : 0;
+            running.push_back(grant);
+        }
+        commands_.clear();
+    }
+    // The guarantee is 2% of the 3000 grants.
+    EXPECT_GE(letters, 50U);
+    EXPECT_LE(letters, 120U);
+}
+
 TEST_F(SchedulingPolicyTest, AFullQueueDropsTheNewestOfTheLowestTier)
 {
     useCatalog(1, 1);
