--- a/development/load/hold_load.cpp
+++ b/development/load/hold_load.cpp
@@ -1,6 +1,7 @@
 #include "development/load/hold_load.h"
 
 #include <iostream>
+#include <string_view>
 #include <utility>
 
 #include "development/load/process_memory.h"
@@ -11,6 +12,19 @@
 
 constexpr Duration OpenPause = std::chrono::milliseconds(2);
 
+std::string_view failureName(UpstreamFailure::Kind kind)
+{
+    switch (kind) {
+    case UpstreamFailure::Kind::NotConnected:
+        return "not_connected";
+    case UpstreamFailure::Kind::Broken:
+        return "broken";
+    case UpstreamFailure::Kind::Silent:
+        return "silent";
+    }
+    return "unlisted";
+}
+
 } // namespace
 
 HoldLoad::HoldLoad(LoadSettings settings)
@@ -73,6 +87,7 @@
         streaming_.erase(ended->attempt);
     } else if (const UpstreamFailure *failure = std::get_if<UpstreamFailure>(&event)) {
         ++failed_;
+        ++failures_[failure->kind];
         streaming_.erase(failure->attempt);
     }
 }
@@ -80,6 +95,9 @@
 void HoldLoad::print(std::size_t before, std::size_t during) const
 {
     std::cout << "streams open=" << streaming_.size() << " ended=" << ended_ << " failed=" << failed_ << '\n';
+    for (const auto &[kind, count] : failures_) {
+        std::cout << "failure kind=" << failureName(kind) << " count=" << count << '\n';
+    }
     std::cout << "router_rss_kib before=" << before << " during=" << during;
     if (!streaming_.empty() && during >= before) {
         std::cout << " per_stream=" << static_cast<double>(during - before) / static_cast<double>(streaming_.size());
--- a/development/load/hold_load.h
+++ b/development/load/hold_load.h
@@ -1,6 +1,7 @@
 /** Measures the router's memory for streams whose callers read slowly. */
 #pragma once
 
+#include <map>
 #include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +38,7 @@
     std::uint64_t lastRead_ = 0;
     std::size_t ended_ = 0;
     std::size_t failed_ = 0;
+    std::map<UpstreamFailure::Kind, std::size_t> failures_;
 };
 
 } // namespace GeraniumLever
