--- a/tests/system/system_site.cpp
+++ b/tests/system/system_site.cpp
@@ -114,8 +114,7 @@
 
 void SystemSite::startNode(SystemNode &node)
 {
-    std::string path = folder_ + "/" + node.name + ".yaml";
-    std::ofstream(path) << settingsOf(node);
+    std::string path = writeFile(node.name + ".yaml", settingsOf(node));
     node.process = std::make_unique<ChildProcess>(std::vector<std::string> { GERANIUM_LEVER, "--settings", path },
                                                   folder_ + "/" + node.name + ".log");
 }
@@ -130,6 +129,26 @@
     engine.process = std::make_unique<ChildProcess>(command, folder_ + "/" + engine.name + ".log");
 }
 
+std::string SystemSite::writeFile(const std::string &name, const std::string &content) const
+{
+    std::string path = folder_ + "/" + name;
+    std::ofstream(path) << content;
+    return path;
+}
+
+std::string SystemSite::endsOfLogs() const
+{
+    constexpr std::size_t LongestEnd = 3000;
+    std::string ends;
+    for (const std::filesystem::directory_entry &entry : std::filesystem::directory_iterator(folder_)) {
+        std::ifstream file(entry.path());
+        std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+        std::size_t begin = text.size() > LongestEnd ? text.size() - LongestEnd : 0;
+        ends += "== " + entry.path().filename().string() + "\n" + text.substr(begin) + "\n";
+    }
+    return ends;
+}
+
 bool SystemSite::waitForHead(std::uint64_t number)
 {
     return waitUntil([this, number]() {
--- a/tests/system/system_site.h
+++ b/tests/system/system_site.h
@@ -64,8 +64,14 @@
     /** Executions by key at all services together. */
     std::map<std::string, std::uint64_t> executions();
 
-    /** What the processes have written, for failures. */
-    std::string folder() const { return folder_; }
+    /** Writes a file into the folder and returns its path. */
+    std::string writeFile(const std::string &name, const std::string &content) const;
+
+    /** The last of what each process has written. */
+    std::string endsOfLogs() const;
+
+    /** Holds the settings and the output of the processes, until the site ends. */
+    const std::string &folder() const { return folder_; }
 
     std::map<std::string, SystemNode> nodes;
     std::map<std::string, SystemUpstream> upstreams;
--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -1,4 +1,5 @@
 #include <csignal>
+#include <iostream>
 
 #include <gtest/gtest.h>
 
@@ -18,7 +19,14 @@
 class SystemTest : public testing::Test
 {
 protected:
-    void SetUp() override { ASSERT_TRUE(site_.start()) << logs(); }
+    void SetUp() override { ASSERT_TRUE(site_.start()); }
+
+    void TearDown() override
+    {
+        if (HasFailure()) {
+            std::cerr << site_.endsOfLogs();
+        }
+    }
 
     /** Callers at each of the nodes. */
     void addCallers(const std::vector<std::string> &names)
@@ -77,12 +85,6 @@
         return without(names, scheduler);
     }
 
-    std::string logs()
-    {
-        std::string command = "the processes' output was in " + site_.folder();
-        return command;
-    }
-
     SystemSite site_;
     StreamLoad load_;
     int expected_ = 0;
@@ -101,13 +103,21 @@
     EXPECT_EQ(site_.executions()["key-1"], 1U);
 }
 
-TEST_F(SystemTest, ATicketComesIntoForceEverywhere)
+TEST_F(SystemTest, ATicketSubmittedByTheOperatorsProgramComesIntoForceEverywhere)
 {
-    std::string ticket = "number: 2\nauthor: operator\nchanges:\n  - {kind: class, name: bulk, tier: 3}\n";
-    std::optional<HttpReply> reply = site_.operate(site_.node("c2"), "POST", "/admin/tickets", ticket);
-    ASSERT_TRUE(reply);
-    EXPECT_EQ(reply->status, 200U) << reply->body;
+    std::string key = site_.writeFile("operator-key", "operator-key\n");
+    std::string ticket = site_.writeFile(
+        "ticket.yaml", "number: 2\nauthor: operator\nchanges:\n  - {kind: class, name: bulk, tier: 3}\n");
+    std::string node = site_.node("c2").operatorAddress;
+    ChildProcess submit({ GERANIUM_CTL, "--node", node, "--key-file", key, "--wait", "ticket", "submit", ticket },
+                        site_.folder() + "/submit");
+    ASSERT_TRUE(waitForExit(submit));
+    EXPECT_EQ(submit.exitCode(), 0);
     EXPECT_TRUE(site_.waitForHead(2));
+    ChildProcess status({ GERANIUM_CTL, "--node", node, "--key-file", key, "ticket", "status", "2" },
+                        site_.folder() + "/status");
+    ASSERT_TRUE(waitForExit(status));
+    EXPECT_EQ(status.exitCode(), 0);
 }
 
 TEST_F(SystemTest, KilledProcessesCutOffOnlyTheKilledNodesOwnCallers)
