--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -514,7 +514,8 @@
 {
     RequestRow *row = requests_.edit(notice.request);
     if (row != nullptr && row->phase == RequestPhase::LookingUp) {
-        row->keyReadAt = now;
+        // The answer may have waited for this process; the row was read after the request arrived, no more is certain.
+        row->keyReadAt = row->arrivedAt;
         askForSeat(*row, now, commands);
     }
 }
