Bench: judge what a leaving caller sets off before the next fault

Grants that a leaving caller had made possible were judged after the change of scheduler of the next step, against requests that they could not know of.

--- a/development/bench/simulation.cpp
+++ b/development/bench/simulation.cpp
@@ -123,6 +123,8 @@
         tickSchedulers();
         deliverAll();
         checkWaits();
+        // What a leaving caller has set off is judged before anything else happens.
+        deliverAll();
     }
     if (isUnderTest(run_.policy)) {
         result_.violations = checker_.violations();
