Claims: say how old the knowledge of an absent run may be

ClaimAbsent.asOf is a time before the row was found without a run. A node that was paused between the look-up and its answer can tell from it that it must ask again before it says not run; the time of the notice would look fresh.

--- a/servers/claims/claim_call.h
+++ b/servers/claims/claim_call.h
@@ -40,6 +40,8 @@
     Stage stage = Stage::Reading;
     /** The request to the store under way, in Registering, Reading and Fetching. */
     OperationId operation;
+    /** When the look-up began. */
+    TimePoint askedAt;
     /** When the stage is given up. */
     TimePoint timeout;
     TableCondition condition;
--- a/servers/claims/claim_calls.cpp
+++ b/servers/claims/claim_calls.cpp
@@ -23,11 +23,12 @@
 {
 }
 
-void ClaimCalls::lookUp(const ClaimRequest &request, Commands &commands)
+void ClaimCalls::lookUp(const ClaimRequest &request, TimePoint now, Commands &commands)
 {
     ClaimCall call;
     call.request = request;
     call.kind = Kind::LookUp;
+    call.askedAt = now;
     call.timeout = request.deadline;
     begin(std::move(call), commands);
 }
@@ -189,7 +190,7 @@
     case StoreStatus::Done:
         call.stage = Stage::Claimable;
         call.condition = { TableCondition::Kind::VersionIs, call.condition.version + 1 };
-        notices_.emplace_back(ClaimAbsent { request });
+        notices_.emplace_back(ClaimAbsent { request, call.askedAt });
         return;
     case StoreStatus::ConditionFailed:
     case StoreStatus::Ambiguous:
@@ -261,7 +262,7 @@
     if (call.kind == Kind::LookUp && registered) {
         call.stage = Stage::Claimable;
         call.condition = condition;
-        notices_.emplace_back(ClaimAbsent { call.request.request });
+        notices_.emplace_back(ClaimAbsent { call.request.request, call.askedAt });
     } else if (call.kind == Kind::Claim && !registered) {
         // A later request has registered. It may run, be refused or claim; this one must not.
         end(call, endRunning(call), commands);
--- a/servers/claims/claim_calls.h
+++ b/servers/claims/claim_calls.h
@@ -24,7 +24,7 @@
 public:
     ClaimCalls(NodeName self, Incarnation incarnation, OperationCounter &operations, ClaimWriter &writer);
 
-    void lookUp(const ClaimRequest &request, Commands &commands);
+    void lookUp(const ClaimRequest &request, TimePoint now, Commands &commands);
     void claim(const RequestId &request, const AttemptId &attempt, TimePoint now, Commands &commands);
     void statusAsked(const ClaimRequest &request, TimePoint now, Commands &commands);
 
--- a/servers/claims/claim_system.cpp
+++ b/servers/claims/claim_system.cpp
@@ -30,9 +30,9 @@
 
 ClaimSystem::~ClaimSystem() = default;
 
-void ClaimSystem::lookUp(const ClaimRequest &request, TimePoint /*now*/, Commands &commands)
+void ClaimSystem::lookUp(const ClaimRequest &request, TimePoint now, Commands &commands)
 {
-    state_->calls.lookUp(request, commands);
+    state_->calls.lookUp(request, now, commands);
 }
 
 void ClaimSystem::claim(const RequestId &request, const AttemptId &attempt, TimePoint now, Commands &commands)
--- a/servers/claims/claim_system.h
+++ b/servers/claims/claim_system.h
@@ -37,6 +37,8 @@
 struct ClaimAbsent
 {
     RequestId request;
+    /** A time before the row was found without a run. Long ago if the process was paused in between. */
+    TimePoint asOf {};
 
     auto operator<=>(const ClaimAbsent &) const = default;
 };
--- a/tests/servers/claims/claim_system_test.cpp
+++ b/tests/servers/claims/claim_system_test.cpp
@@ -183,6 +183,15 @@
     EXPECT_EQ(onlyNotice<ClaimRefused>().error.code, ResultCode::ClaimRunning);
 }
 
+TEST_F(ClaimSystemTest, TellsHowOldTheKnowledgeOfAnAbsentRunMayBe)
+{
+    const TimePoint asked = now;
+    lookUp(request(1, "key"));
+    now += seconds(20);
+    settle();
+    EXPECT_EQ(onlyNotice<ClaimAbsent>().asOf, asked);
+}
+
 TEST_F(ClaimSystemTest, AnUnreadableRowIsNotAReasonToSayNotRun)
 {
     reachable = false;
