--- a/main/node/admin_handler.cpp
+++ b/main/node/admin_handler.cpp
@@ -191,8 +191,9 @@
     const TicketNumber number(numberOr(text, 0));
     const std::optional<TicketRecord> record = logic_.tickets().record(number);
     const TicketStanding standing = logic_.tickets().standing();
-    if (!record && standing.head < number) {
-        respond(errorReply({ ResultCode::TicketNotFound, "no such ticket is in force here", std::nullopt },
+    // A node that began with a snapshot does not hold the tickets before it, but knows the last of them.
+    if (!record && standing.head != number) {
+        respond(errorReply({ ResultCode::TicketNotFound, "this node holds no ticket with this number", std::nullopt },
                            Outcome::NotRun));
         return;
     }
--- a/main/node/entry_node.cpp
+++ b/main/node/entry_node.cpp
@@ -100,6 +100,7 @@
                         admin.handle(request, std::move(respond));
                     })
         , timer(context)
+        , drainTimer(context)
     {
     }
 
@@ -108,10 +109,15 @@
         return [this](Event event) { take(std::move(event)); };
     }
 
-    /** Adapters may report while they carry out a command; such events wait until the command is done. */
+    /** Adapters may report while they carry out a command; such events wait, in order, until the command is done. */
     void take(Event event)
     {
         events.push_back(std::move(event));
+        handleWaitingEvents();
+    }
+
+    void handleWaitingEvents()
+    {
         if (busy) {
             return;
         }
@@ -129,26 +135,28 @@
         busy = false;
     }
 
+    /** Carries out commands that no event has caused. */
+    void perform(Commands &commands)
+    {
+        const bool wasBusy = std::exchange(busy, true);
+        carryOut(commands);
+        busy = wasBusy;
+        handleWaitingEvents();
+    }
+
     void ask(const RequestId &request, const TeamName &team, const std::string &key)
     {
         Commands commands;
         logic.askStatus(request, team, key, clock.now(), commands);
-        carryOut(commands);
+        perform(commands);
     }
 
     void tick()
     {
         Commands commands;
-        busy = true;
         logic.tick(clock.now(), commands);
-        carryOut(commands);
-        busy = false;
+        perform(commands);
         refreshConnections();
-        if (!events.empty()) {
-            Event next = std::move(events.front());
-            events.pop_front();
-            take(std::move(next));
-        }
         timer.expires_after(TickPeriod);
         timer.async_wait([this](const boost::system::error_code &failure) {
             if (!failure) {
@@ -157,6 +165,20 @@
         });
     }
 
+    void stop()
+    {
+        if (logic.state() == NodeState::Leaving) {
+            return;
+        }
+        take(StopRequested {});
+        drainTimer.expires_after(AcceptingAfterStop);
+        drainTimer.async_wait([this](const boost::system::error_code &failure) {
+            if (!failure) {
+                callers.drain();
+            }
+        });
+    }
+
     void carryOut(Commands &commands)
     {
         for (Command &command : commands) {
@@ -240,6 +262,7 @@
     AdminHandler admin;
     OperatorServer operators;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer drainTimer;
     std::deque<Event> events;
     bool busy = false;
     std::vector<MeshPeer> peers;
@@ -268,8 +291,7 @@
 
 void EntryNode::stop()
 {
-    state_->callers.drain();
-    state_->take(StopRequested {});
+    state_->stop();
 }
 
 } // namespace GeraniumLever
--- a/main/node/node_logic.cpp
+++ b/main/node/node_logic.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/** How long a stopping node still takes requests, so that the balancer notices before connections are refused. */
-constexpr Duration DrainGrace = std::chrono::seconds(3);
+/** Time for what was accepted last to arrive. */
+constexpr Duration LastArrivalGrace = std::chrono::milliseconds(500);
 
 constexpr Duration OrderTickPeriod = std::chrono::milliseconds(200);
 
@@ -65,7 +65,7 @@
         refreshWatched(now);
         ingress_.schedulersChanged(lost, now, produced);
     }
-    tickets_.tick(membership_.isDelegate(), pushTargets(), now, produced);
+    tickets_.tick(membership_.isDelegate(), membership_.pushTargets(), now, produced);
     refreshCatalog(now);
     claims_.tick(now, produced);
     tickOrders(now, produced);
@@ -152,23 +152,6 @@
     watched_ = std::move(watched);
 }
 
-std::vector<NodeName> NodeLogic::pushTargets() const
-{
-    std::vector<NodeName> targets;
-    for (const auto &[name, peer] : membership_.peers()) {
-        if (peer.alive && peer.address.dataCenter == identity_.address.dataCenter) {
-            targets.push_back(name);
-        }
-    }
-    for (const DataCenterName &dataCenter : membership_.dataCenters()) {
-        const std::vector<NodeName> delegates = membership_.delegatesOf(dataCenter);
-        if (dataCenter != identity_.address.dataCenter && !delegates.empty()) {
-            targets.push_back(delegates.front());
-        }
-    }
-    return targets;
-}
-
 void NodeLogic::refreshCatalog(TimePoint now)
 {
     if (tickets_.catalog() == catalog_) {
@@ -350,7 +333,7 @@
     }
     state_ = NodeState::Leaving;
     stopAt_ = now + identity_.stopLimit;
-    drainUntil_ = now + DrainGrace;
+    drainUntil_ = now + AcceptingAfterStop + LastArrivalGrace;
     membership_.announceNow();
     produced.emplace_back(
         Decision { "stopping", { { "node", self_.text() }, { "in_flight", std::to_string(inFlight()) } } });
--- a/main/node/node_logic.h
+++ b/main/node/node_logic.h
@@ -33,6 +33,9 @@
     bool operator==(const NodeIdentity &) const = default;
 };
 
+/** How long a stopping node still accepts connections, so that the balancer notices before any is refused. */
+constexpr Duration AcceptingAfterStop = std::chrono::seconds(3);
+
 /** Connects the systems of a node. Messages of a node to itself never leave it. */
 class NodeLogic
 {
@@ -77,7 +80,6 @@
     void refreshState(TimePoint now, Commands &commands);
     void refreshSeatShare();
     void tickOrders(TimePoint now, Commands &produced);
-    std::vector<NodeName> pushTargets() const;
     /** Recomputes for which upstreams this node schedules; new ones get no grant before they have reported. */
     void refreshWatched(TimePoint now);
 
--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -122,8 +122,9 @@
 
 void IngressSystem::callerBacklogged(const CallerBacklog &event, Commands &commands)
 {
-    const RequestRow *row = requests_.find(event.request);
+    RequestRow *row = requests_.edit(event.request);
     if (row != nullptr && !row->running.attempt.empty()) {
+        row->running.readerSlow = row->running.readerSlow || event.backlogged;
         commands.emplace_back(UpstreamReading { row->running.attempt, !event.backlogged });
     }
 }
@@ -514,8 +515,7 @@
 {
     RequestRow *row = requests_.edit(notice.request);
     if (row != nullptr && row->phase == RequestPhase::LookingUp) {
-        // The answer may have waited for this process; the row was read after the request arrived, no more is certain.
-        row->keyReadAt = row->arrivedAt;
+        row->keyReadAt = notice.asOf;
         askForSeat(*row, now, commands);
     }
 }
--- a/servers/ingress/request_row.h
+++ b/servers/ingress/request_row.h
@@ -44,6 +44,8 @@
     std::optional<Duration> firstToken;
     /** Tokens of this attempt alone. */
     std::uint32_t tokens = 0;
+    /** True once the caller has read too slowly, which slows the upstream's answer down. */
+    bool readerSlow = false;
     /** Nodes that count the attempt: the scheduler that granted it, and those it was registered with. */
     std::set<NodeName> countedBy;
 };
--- a/servers/ingress/seat_messages.cpp
+++ b/servers/ingress/seat_messages.cpp
@@ -28,6 +28,7 @@
     progress.upstream = row.running.upstream;
     progress.firstToken = row.running.firstToken;
     progress.tokens = row.running.tokens;
+    progress.readerSlow = row.running.readerSlow;
     return progress;
 }
 
@@ -57,6 +58,7 @@
     end.firstToken = row.running.firstToken;
     end.tokens = row.running.tokens;
     end.wastedTokens = wastedTokens;
+    end.readerSlow = row.running.readerSlow;
     return end;
 }
 
--- a/servers/scheduling/health_system.cpp
+++ b/servers/scheduling/health_system.cpp
@@ -74,7 +74,7 @@
     }
     if (!attempt->firstToken && progress.firstToken) {
         noteFirstToken(state, *attempt, *progress.firstToken);
-    } else {
+    } else if (!progress.readerSlow) {
         noteGap(state, *attempt, progress.tokens, now);
     }
     attempt->tokens = progress.tokens;
@@ -102,7 +102,9 @@
         const std::uint64_t computed = attempt.prefillAhead + attempt.uncachedTokens;
         state.speeds.noteFirstToken(attempt.upstream, static_cast<std::uint32_t>(computed), *end.firstToken);
     }
-    noteGap(state, attempt, end.tokens, now);
+    if (!end.readerSlow) {
+        noteGap(state, attempt, end.tokens, now);
+    }
     state.classes.noteSeatTime(attempt.requestClass, now - attempt.granted);
     if (!attempt.resumed) {
         state.lengths.note(attempt.requestClass, attempt.team, end.tokens);
--- a/tests/servers/scheduling/scheduling_system_test.cpp
+++ b/tests/servers/scheduling/scheduling_system_test.cpp
@@ -148,6 +148,31 @@
     EXPECT_EQ(sent<SlotRefusal>().back().request, RequestId(9, 3));
 }
 
+TEST_F(SchedulingSystemTest, SlowReadersDoNotMakeAnUpstreamLookSlow)
+{
+    useCatalog(2, 8);
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        ask(number, "live");
+    }
+    const std::vector<SlotGrant> grants = sent<SlotGrant>();
+    ASSERT_EQ(grants.size(), 8U);
+    for (std::uint32_t second = 0; second < 40; ++second) {
+        for (const SlotGrant &grant : grants) {
+            const bool slow = grant.upstream == UpstreamName("u0");
+            const std::uint32_t tokens = 1 + second * (slow ? 4 : 100);
+            system_.attemptProgressed(
+                ingress_,
+                { grant.attempt, shard_, grant.upstream, std::chrono::milliseconds(50), tokens, slow },
+                clock_.now());
+        }
+        run(std::chrono::seconds(1));
+    }
+    for (const Command &command : commands_) {
+        const Decision *decision = std::get_if<Decision>(&command);
+        EXPECT_TRUE(decision == nullptr || decision->kind != "eject");
+    }
+}
+
 TEST_F(SchedulingSystemTest, SeatShareLimitsEveryUpstreamForLowerTiers)
 {
     useCatalog(2, 8);
