Prove a rolling upgrade under load with real processes

Nine nodes, six engines: a ticket with a new model version while 18 callers stream; every stream whole, and every engine reports the new version and ready.

--- a/tests/system/system_test.cpp
+++ b/tests/system/system_test.cpp
@@ -60,13 +60,30 @@
         return httpExchange(site_.node(node).callerAddress, call);
     }
 
-    bool waitForExit(ChildProcess &process)
+    /** False if the condition does not hold in time. */
+    template<typename Condition>
+    bool waitUntil(Condition condition)
     {
         std::chrono::steady_clock::time_point limit = std::chrono::steady_clock::now() + ExitLimit;
-        while (!process.exitCode() && std::chrono::steady_clock::now() < limit) {
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
             std::this_thread::sleep_for(std::chrono::milliseconds(20));
         }
-        return process.exitCode().has_value();
+        return condition();
+    }
+
+    bool waitForExit(ChildProcess &process)
+    {
+        return waitUntil([&process]() { return process.exitCode().has_value(); });
+    }
+
+    /** Waits until the engine runs the version and is ready. */
+    bool waitForVersion(const std::string &address, const std::string &version)
+    {
+        return waitUntil([&address, &version]() {
+            std::optional<HttpReply> load = httpExchange(address, { "GET", "/load", {}, "" });
+            return load && load->body.find("\"model_version\":\"" + version + "\"") != std::string::npos
+                && load->body.find("\"ready\":true") != std::string::npos;
+        });
     }
 
     static std::vector<std::string> without(std::vector<std::string> names, const std::string &name)
@@ -160,6 +177,22 @@
     EXPECT_EQ(site_.upstream("engine-b1").process->exitCode(), 0);
 }
 
+TEST_F(SystemTest, ARollingUpgradeBreaksNoStreamAndReachesEveryEngine)
+{
+    addCallers({ "a1", "a2", "b1", "b2", "c1", "c2" });
+    std::this_thread::sleep_for(IntoTheLoad);
+    std::string ticket = "number: 2\nauthor: operator\nchanges:\n  - {kind: model, name: large, version: \"v2\"}\n";
+    std::optional<HttpReply> accepted = site_.operate(site_.node("a1"), "POST", "/admin/tickets", ticket);
+    ASSERT_TRUE(accepted);
+    ASSERT_EQ(accepted->status, 200U) << accepted->body;
+    expectAllWhole();
+    for (const auto &[name, upstream] : site_.upstreams) {
+        if (name.starts_with("engine")) {
+            EXPECT_TRUE(waitForVersion(upstream.address, "v2")) << name;
+        }
+    }
+}
+
 TEST_F(SystemTest, AFrozenSchedulerDelaysButBreaksNothing)
 {
     std::string scheduler;
