--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -8,7 +8,6 @@
 #include "servers/ingress/dispatch_builder.h"
 #include "servers/ingress/request_admission.h"
 #include "servers/ingress/request_reports.h"
-#include "servers/ingress/spill_chooser.h"
 
 namespace GeraniumLever {
 
@@ -50,12 +49,10 @@
                              std::string meshKey,
                              ClaimSystem &claims,
                              const MembershipSystem &membership)
-    : origin_(origin)
-    , meshKey_(std::move(meshKey))
-    , claims_(claims)
-    , membership_(membership)
+    : claims_(claims)
     , seats_(requests_, membership)
     , finisher_(origin, requests_, seats_, claims)
+    , forwarder_(origin, std::move(meshKey), requests_, claims, membership)
     , catalog_(std::make_shared<const Catalog>())
 {
 }
@@ -133,7 +130,7 @@
 
 void IngressSystem::askForSeat(RequestRow &row, TimePoint now, Commands &commands)
 {
-    if (seats_.ask(row, now, commands) || forward(row, row.deadline - now, now, commands)) {
+    if (seats_.ask(row, now, commands) || forwarder_.forward(row, row.deadline - now, now, commands)) {
         return;
     }
     finisher_.giveUp(
@@ -177,7 +174,7 @@
     if (row == nullptr || !seats_.expects(*row, from)) {
         return;
     }
-    if (forward(*row, row->deadline - now, now, commands)) {
+    if (forwarder_.forward(*row, row->deadline - now, now, commands)) {
         return;
     }
     finisher_.giveUp(*row, { refusal.code, "no seat can be had in time", refusal.retryAfter }, now, commands);
@@ -205,56 +202,6 @@
     askForSeat(*row, now, commands);
 }
 
-bool IngressSystem::forward(RequestRow &row, Duration timeLeft, TimePoint now, Commands &commands)
-{
-    const bool repeatable = row.requestClass.idempotent || !row.begun;
-    if (row.call.forwarded || row.spillTried || !repeatable || timeLeft <= Duration(0)) {
-        return false;
-    }
-    const std::uint64_t spread = row.call.request.sequence();
-    const std::optional<NodeAddress> node =
-        chooseSpillTarget(membership_, row.pool, row.requestClass.tier, timeLeft, spread);
-    if (!node) {
-        return false;
-    }
-    if (!row.requestClass.idempotent) {
-        // The other node makes the claim; this one has only looked the key up.
-        claims_.abandoned(row.call.request, now, commands);
-    }
-    row.spillTried = true;
-    row.begunBeforeForward = row.begun;
-    row.begun = true;
-    row.phase = RequestPhase::Forwarded;
-    row.head = UpstreamHead {};
-    row.body.clear();
-    row.answer.beginContinuation();
-    RunningAttempt attempt;
-    attempt.attempt = AttemptId(~origin_, ++lastForward_);
-    attempt.dispatchedAt = now;
-    attempt.progressDueAt = TimePoint::max();
-    requests_.setAttempt(row, std::move(attempt));
-    Decision decision = decide("forward", row);
-    addField(decision, "node", node->node.text());
-    addField(decision, "data_center", node->dataCenter.text());
-    commands.emplace_back(std::move(decision));
-    commands.emplace_back(makeForward(row, *node, meshKey_, row.deadline - now));
-    return true;
-}
-
-void IngressSystem::forwardIfLocalQueueIsSlow(RequestRow &row, TimePoint now, Commands &commands)
-{
-    const Duration target = row.requestClass.firstTokenTarget;
-    if (now - row.waitingSince < target) {
-        return;
-    }
-    const SlotCancel cancel { row.call.request, row.shard };
-    const NodeName scheduler = row.scheduler;
-    row.waitingSince = now;
-    if (forward(row, std::min(target, row.deadline - now), now, commands)) {
-        commands.emplace_back(PeerSend { scheduler, cancel });
-    }
-}
-
 void IngressSystem::schedulersChanged(const std::vector<NodeName> &lost, TimePoint now, Commands &commands)
 {
     seats_.follow(lost, now, commands);
@@ -568,7 +515,7 @@
             continue;
         }
         if (row.phase == RequestPhase::WaitingForSeat) {
-            forwardIfLocalQueueIsSlow(row, now, commands);
+            forwarder_.forwardIfQueueIsSlow(row, now, commands);
             continue;
         }
         if (row.phase != RequestPhase::Running || now < row.running.progressDueAt) {
--- a/servers/ingress/ingress_system.h
+++ b/servers/ingress/ingress_system.h
@@ -9,6 +9,7 @@
 #include "core/core.h"
 #include "servers/claims/claims.h"
 #include "servers/ingress/request_finisher.h"
+#include "servers/ingress/request_forwarder.h"
 #include "servers/ingress/request_table.h"
 #include "servers/ingress/seat_client.h"
 #include "servers/membership/membership.h"
@@ -63,10 +64,6 @@
 
 private:
     void askForSeat(RequestRow &row, TimePoint now, Commands &commands);
-    /** Hands the request, or the rest of its answer, to a node of a data centre that is expected to start it within the
-     *  time left; false if there is none, or the request may not be forwarded. */
-    bool forward(RequestRow &row, Duration timeLeft, TimePoint now, Commands &commands);
-    void forwardIfLocalQueueIsSlow(RequestRow &row, TimePoint now, Commands &commands);
     void dispatch(RequestRow &row, TimePoint now, Commands &commands);
     void retry(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
     /** upstreamWell: true if only the connection was lost, so that the same upstream may be asked again. */
@@ -79,14 +76,11 @@
     void takeNotice(const ClaimReplay &notice, TimePoint now, Commands &commands);
     void takeNotice(const ClaimRefused &notice, TimePoint now, Commands &commands);
 
-    std::uint64_t origin_;
-    std::uint64_t lastForward_ = 0;
-    std::string meshKey_;
     ClaimSystem &claims_;
-    const MembershipSystem &membership_;
     RequestTable requests_;
     SeatClient seats_;
     RequestFinisher finisher_;
+    RequestForwarder forwarder_;
     CatalogPtr catalog_;
 };
 
