--- a/development/slopes/slope_cases.cpp
+++ b/development/slopes/slope_cases.cpp
@@ -11,6 +11,7 @@
 #include "core/core.h"
 #include "development/slopes/slope_catalogs.h"
 #include "platform/mesh/mesh.h"
+#include "servers/claims/claims.h"
 #include "servers/ingress/ingress.h"
 #include "servers/membership/membership.h"
 #include "servers/scheduling/scheduling.h"
@@ -230,6 +231,106 @@
     });
 }
 
+/** Gives every store request among the commands the answer of a service that works; returns how many writes there were.
+ */
+std::size_t answerStore(ClaimSystem &claims, Commands &commands, TimePoint now)
+{
+    std::size_t writes = 0;
+    for (std::size_t i = 0; i < commands.size(); ++i) {
+        StoreResult result;
+        result.status = StoreStatus::Done;
+        if (const TableGet *get = std::get_if<TableGet>(&commands[i])) {
+            result.operation = get->operation;
+        } else if (const TableTransaction *transaction = std::get_if<TableTransaction>(&commands[i])) {
+            result.operation = transaction->operation;
+            ++writes;
+        } else {
+            continue;
+        }
+        claims.storeAnswered(result, now, commands);
+    }
+    return writes;
+}
+
+/** Claims that go through their whole life together; returns the writes. */
+std::size_t runClaims(ClaimSystem &claims, std::uint64_t first, std::size_t calls, SteppedClock &clock)
+{
+    std::size_t writes = 0;
+    const std::uint64_t end = first + calls;
+    Commands commands;
+    for (std::uint64_t i = first; i < end; ++i) {
+        const RequestId request(7, i);
+        const TimePoint deadline = clock.now() + std::chrono::seconds(10);
+        claims.lookUp({ request, TeamName("team-1"), std::to_string(i), i, deadline }, clock.now(), commands);
+    }
+    const std::function<void()> settle = [&]() {
+        for (int tick = 0; tick < 3; ++tick) {
+            clock.advance(std::chrono::milliseconds(5));
+            claims.tick(clock.now(), commands);
+            writes += answerStore(claims, commands, clock.now());
+            commands.clear();
+        }
+        claims.takeNotices();
+    };
+    settle();
+    for (std::uint64_t i = first; i < end; ++i) {
+        claims.claim(RequestId(7, i), AttemptId(9, i), clock.now(), commands);
+    }
+    settle();
+    for (std::uint64_t i = first; i < end; ++i) {
+        claims.startDispatch(RequestId(7, i), clock.now(), commands);
+        claims.finished(RequestId(7, i), { 200, "application/json", "{}" }, clock.now(), commands);
+    }
+    settle();
+    return writes;
+}
+
+/** Processor time of one call's claim, with so many calls at the same time at the node. */
+double claimCall(std::size_t calls)
+{
+    OperationCounter operations;
+    ClaimSystem claims(self, Incarnation(1), operations);
+    SteppedClock clock;
+    std::uint64_t first = 1;
+    return costOf(5,
+                  [&]() {
+                      runClaims(claims, first, calls, clock);
+                      first += calls;
+                  })
+        / static_cast<double>(calls);
+}
+
+/** Transactions of one call, with so many calls at the same time at the node. */
+double claimWrites(std::size_t calls)
+{
+    OperationCounter operations;
+    ClaimSystem claims(self, Incarnation(1), operations);
+    SteppedClock clock;
+    return static_cast<double>(runClaims(claims, 1, calls, clock)) / static_cast<double>(calls);
+}
+
+/** Memory of a scheduler with so many requests that wait. */
+double schedulerKilobytes(std::size_t waiting)
+{
+    const CatalogPtr catalog = makeSlopeCatalog({ 10, 1, 16 });
+    SteppedClock clock;
+    const double before = heapKilobytes();
+    SchedulingSystem scheduling(self, 1, 1);
+    scheduling.applyCatalog(catalog, clock.now());
+    for (std::uint64_t i = 1; i <= waiting; ++i) {
+        SlotRequest request;
+        request.request = RequestId(2, i);
+        request.shard = { homeDataCenter, PoolName("model-0"), 0 };
+        request.requestClass = ClassName("tier-0");
+        request.team = TeamName("team-1");
+        request.timeLeft = std::chrono::seconds(100);
+        request.prefixHashes.resize(8);
+        Commands commands;
+        scheduling.slotRequested(self, request, clock.now(), commands);
+    }
+    return heapKilobytes() - before;
+}
+
 /** Bytes between nodes for the control of one request whose answer takes so many seconds. */
 double controlBytes(std::size_t seconds)
 {
@@ -266,6 +367,9 @@
       { 36, 72, 144, 225 },
       schedulerIdleSecond },
     { "ingress answer", "tokens", "us an answer", { 10, 100, 200, 400 }, ingressAnswer },
+    { "scheduler memory", "requests that wait or run", "KB of heap", { 200, 400, 800, 1600 }, schedulerKilobytes },
+    { "claim", "calls at once", "us a call", { 1, 5, 20, 80 }, claimCall },
+    { "claim writes", "calls at once", "transactions a call", { 1, 5, 20, 80 }, claimWrites },
     { "request control", "seconds of answer", "bytes a request", { 0, 2, 5, 10 }, controlBytes },
 };
 
