Decode the key in GET /v1/requests/KEY

Cause: keys with characters that a path cannot carry could not be asked about. Test AKeyIsAskedAboutInItsDecodedForm; the decoder of the operator port moved to the ingress package, so that there is one.

--- a/main/node/admin_handler.cpp
+++ b/main/node/admin_handler.cpp
@@ -52,31 +52,6 @@
     return "starting";
 }
 
-int hexDigit(char digit)
-{
-    if (digit >= '0' && digit <= '9') {
-        return digit - '0';
-    }
-    const char lower = static_cast<char>(digit | 0x20);
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
-std::string percentDecoded(std::string_view text)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool escape =
-            text[i] == '%' && i + 2 < text.size() && hexDigit(text[i + 1]) >= 0 && hexDigit(text[i + 2]) >= 0;
-        if (!escape) {
-            decoded += text[i] == '+' ? ' ' : text[i];
-            continue;
-        }
-        decoded += static_cast<char>(hexDigit(text[i + 1]) * 16 + hexDigit(text[i + 2]));
-        i += 2;
-    }
-    return decoded;
-}
-
 /** The decoded value of a query parameter; empty if it is absent. */
 std::string queryValue(std::string_view query, std::string_view name)
 {
--- a/servers/ingress/ingress.h
+++ b/servers/ingress/ingress.h
@@ -5,3 +5,4 @@
 #pragma once
 
 #include "servers/ingress/ingress_system.h"
+#include "servers/ingress/percent_decoding.h"
--- a/servers/ingress/request_admission.cpp
+++ b/servers/ingress/request_admission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string_view>
 
+#include "servers/ingress/percent_decoding.h"
+
 namespace GeraniumLever {
 
 namespace {
@@ -116,7 +118,7 @@
     row.team = team->name;
     const std::string_view path = std::string_view(call.target).substr(0, call.target.find('?'));
     if (path.starts_with(RequestsPrefix) && path.size() > RequestsPrefix.size() && call.method == "GET") {
-        row.call.idempotencyKey = std::string(path.substr(RequestsPrefix.size()));
+        row.call.idempotencyKey = percentDecoded(path.substr(RequestsPrefix.size()));
         row.phase = RequestPhase::AskingStatus;
         row.deadline = now + std::chrono::seconds(10);
         return row;
--- a/tests/servers/ingress/ingress_system_test.cpp
+++ b/tests/servers/ingress/ingress_system_test.cpp
@@ -131,6 +131,18 @@
     EXPECT_TRUE(last<UpstreamDispatch>()->freshConnection);
 }
 
+TEST_F(IngressSystemTest, AKeyIsAskedAboutInItsDecodedForm)
+{
+    CallerRequest question;
+    question.request = RequestId(7, 99);
+    question.method = "GET";
+    question.target = "/v1/requests/a%2Fb%20c";
+    question.keyHash = "hash";
+    ingress_.callerRequested(question, clock_.now(), commands_);
+    ASSERT_TRUE(last<TableGet>().has_value());
+    EXPECT_TRUE(last<TableGet>()->keys.front().ends_with("/a%2Fb%20c"));
+}
+
 TEST_F(IngressSystemTest, BrokenNonIdempotentCallIsUnknownAndNeverRetried)
 {
     const RequestId payment = send("payment", "/services/desk/pay", "{}", "key");
