Announce seat counts only of pools that the node schedules

The spill, planned-stop, priority, own-answer and whole-path scenarios (102 cases) pass as before; the effect on forwarding was not measured.

--- a/main/node/node_logic.cpp
+++ b/main/node/node_logic.cpp
@@ -53,7 +53,7 @@
     description.ticketHead = standing.head;
     description.catalogDigest = standing.digest;
     description.storeEpoch = standing.epoch;
-    description.pools = scheduling_.summaries(now);
+    description.pools = ownSummaries(now);
     membership_.tick(description, now, produced);
     const std::vector<NodeName> lost = membership_.takeLost();
     for (const NodeName &node : lost) {
@@ -131,10 +131,12 @@
 void NodeLogic::refreshWatched(TimePoint now)
 {
     std::set<ShardKey> mine;
+    watchedPools_.clear();
     for (const auto &[name, pool] : catalog_->pools()) {
         for (const ShardKey &shard : shardsOf(*catalog_, identity_.address.dataCenter, name)) {
             if (membership_.schedulerFor(shard).value_or(self_) == self_) {
                 mine.insert(shard);
+                watchedPools_.insert(name);
             }
         }
     }
@@ -152,6 +154,13 @@
     watched_ = std::move(watched);
 }
 
+std::vector<PoolSummary> NodeLogic::ownSummaries(TimePoint now) const
+{
+    std::vector<PoolSummary> summaries = scheduling_.summaries(now);
+    std::erase_if(summaries, [this](const PoolSummary &summary) { return watchedPools_.count(summary.pool) == 0; });
+    return summaries;
+}
+
 void NodeLogic::refreshCatalog(TimePoint now)
 {
     if (tickets_.catalog() == catalog_) {
--- a/main/node/node_logic.h
+++ b/main/node/node_logic.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -78,6 +79,8 @@
     void noteLeaving(const std::optional<LeavingNotice> &notice, bool tellPeers, TimePoint now, Commands &produced);
     void refreshCatalog(TimePoint now);
     void refreshState(TimePoint now, Commands &commands);
+    /** Without pools that this node has scheduled before and no longer does, whose counts are out of date. */
+    std::vector<PoolSummary> ownSummaries(TimePoint now) const;
     void refreshSeatShare();
     void tickOrders(TimePoint now, Commands &produced);
     /** Recomputes for which upstreams this node schedules; new ones get no grant before they have reported. */
@@ -130,6 +133,8 @@
     LeavingTracker leaving_;
     CatalogPtr catalog_;
     std::vector<UpstreamName> watched_;
+    /** Pools of which this node schedules a shard. */
+    std::set<PoolName> watchedPools_;
     NodeState state_ = NodeState::Starting;
     TimePoint nextOrderTick_;
     TimePoint stopAt_;
