--- a/core/clock.h
+++ b/core/clock.h
@@ -35,6 +35,14 @@
     TimePoint now() const override;
 };
 
+/** The operating system's clock that also counts the time for which the machine was suspended. Ages of knowledge that
+ *  others rely on are measured on it. */
+class BootClock : public Clock
+{
+public:
+    TimePoint now() const override;
+};
+
 /** A clock that moves only when told to, for tests, scenarios and the policy bench. */
 class SteppedClock : public Clock
 {
--- a/core/core.h
+++ b/core/core.h
@@ -15,6 +15,7 @@
 #include "core/operation_counter.h"
 #include "core/outcome.h"
 #include "core/peer_messages.h"
+#include "core/percent_encoding.h"
 #include "core/prefix_hash.h"
 #include "core/random_source.h"
 #include "core/result_code.h"
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -25,6 +25,7 @@
     ClassNotAllowed = 111,
     TooManyConnections = 112,
     UnknownRequest = 113,
+    CallerGone = 114,
 
     Shed = 200,
     DeadlineUnreachable = 201,
@@ -33,6 +34,8 @@
     QueueFull = 204,
     NodeStopping = 205,
     NotReady = 206,
+    ConfigurationOutdated = 207,
+    UpstreamFull = 208,
 
     UpstreamLost = 300,
     UpstreamRefused = 301,
@@ -40,6 +43,7 @@
     AnswerIncomplete = 303,
     CrossedAnswer = 304,
     AnswerTooLarge = 305,
+    UpstreamFailed = 306,
 
     ClaimStoreUnavailable = 400,
     ClaimRunning = 401,
@@ -60,6 +64,7 @@
     TableAmbiguous = 701,
     TableConditionFailed = 702,
     ObjectNotFound = 703,
+    ConfigurationInvalid = 704,
 
     PeerUnreachable = 800,
     PeerRejected = 801,
--- a/development/demo/demo_caller.h
+++ b/development/demo/demo_caller.h
@@ -10,7 +10,7 @@
 
 #include "core/core.h"
 #include "development/demo/demo_site.h"
-#include "platform/http/http.h"
+#include "drivers/http/http.h"
 
 namespace GeraniumLever {
 
--- a/development/load/compare_load.h
+++ b/development/load/compare_load.h
@@ -8,7 +8,7 @@
 
 #include "development/load/latency_samples.h"
 #include "development/load/load_settings.h"
-#include "platform/http/http.h"
+#include "drivers/http/http.h"
 
 namespace GeraniumLever {
 
--- a/development/load/hold_load.h
+++ b/development/load/hold_load.h
@@ -8,7 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "development/load/load_settings.h"
-#include "platform/http/http.h"
+#include "drivers/http/http.h"
 
 namespace GeraniumLever {
 
--- a/development/load/stream_load.h
+++ b/development/load/stream_load.h
@@ -7,7 +7,7 @@
 
 #include "development/load/load_settings.h"
 #include "development/load/stream_record.h"
-#include "platform/http/http.h"
+#include "drivers/http/http.h"
 
 namespace GeraniumLever {
 
--- a/development/slopes/slope_cases.cpp
+++ b/development/slopes/slope_cases.cpp
@@ -10,7 +10,7 @@
 
 #include "core/core.h"
 #include "development/slopes/slope_catalogs.h"
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/mesh.h"
 #include "servers/claims/claims.h"
 #include "servers/ingress/ingress.h"
 #include "servers/membership/membership.h"
--- a/platform/http/answer_formatter.cpp
+++ b/drivers/http/answer_formatter.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/answer_formatter.h"
+#include "drivers/http/answer_formatter.h"
 
 #include <string_view>
 #include <utility>
@@ -9,7 +9,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
 
-#include "platform/http/error_body.h"
+#include "drivers/http/error_body.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/caller_connection.h"
+#include "drivers/http/caller_connection.h"
 
 #include <utility>
 
--- a/platform/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -11,10 +11,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "core/core.h"
-#include "platform/http/answer_formatter.h"
-#include "platform/http/caller_request_reader.h"
-#include "platform/http/caller_server.h"
-#include "platform/http/output_queue.h"
+#include "drivers/http/answer_formatter.h"
+#include "drivers/http/caller_request_reader.h"
+#include "drivers/http/caller_server.h"
+#include "drivers/http/output_queue.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/caller_request_reader.cpp
+++ b/drivers/http/caller_request_reader.cpp
@@ -1,22 +1,17 @@
-#include "platform/http/caller_request_reader.h"
+#include "drivers/http/caller_request_reader.h"
 
 #include <charconv>
 #include <string_view>
 #include <utility>
 
-#include <boost/beast/core/string.hpp>
-
-#include "platform/http/key_hash.h"
+#include "drivers/http/key_hash.h"
 
 namespace GeraniumLever {
 
 namespace {
 
-namespace http = boost::beast::http;
-
-using Fields = http::request<AppendBody>;
+using Fields = RequestParser::Message;
 
-constexpr unsigned Http11 = 11;
 constexpr std::string_view ClassHeader = "Geranium-Class";
 constexpr std::string_view IdempotencyKeyHeader = "Idempotency-Key";
 constexpr std::string_view DeadlineHeader = "Geranium-Deadline-Ms";
@@ -52,9 +47,6 @@
 
 std::optional<Error> checkFields(const Fields &fields)
 {
-    if (fields.version() != Http11) {
-        return malformed("Only HTTP/1.1 is accepted.");
-    }
     for (const std::string_view name : SingleHeaders) {
         if (fields.count(name) > 1) {
             return malformed("The field " + std::string(name) + " comes more than once.");
@@ -68,42 +60,9 @@
 
 } // namespace
 
-CallerRequestReader::CallerRequestReader(const CallerServerSettings &settings) : settings_(settings)
+CallerRequestReader::CallerRequestReader(const CallerServerSettings &settings)
+    : settings_(settings), parser_(settings.maxHeaderBytes, settings.maxBodyBytes)
 {
-    parser_.eager(true);
-    parser_.header_limit(static_cast<std::uint32_t>(settings.maxHeaderBytes));
-    parser_.body_limit(settings.maxBodyBytes);
-}
-
-std::optional<Error> CallerRequestReader::feed(boost::beast::flat_buffer &input)
-{
-    while (input.size() != 0 && !parser_.is_done()) {
-        boost::system::error_code error;
-        const std::size_t used = parser_.put(input.data(), error);
-        input.consume(used);
-        if (error == http::error::need_more) {
-            break;
-        }
-        if (error) {
-            return errorFor(error);
-        }
-        if (used == 0) {
-            break;
-        }
-    }
-    if (!parser_.is_done() && input.size() > settings_.maxHeaderBytes) {
-        return errorFor(http::error::header_limit);
-    }
-    return std::nullopt;
-}
-
-bool CallerRequestReader::takeExpectation()
-{
-    if (expectationTaken_ || !parser_.is_header_done() || parser_.is_done()) {
-        return false;
-    }
-    expectationTaken_ = true;
-    return boost::beast::iequals(parser_.get()[http::field::expect], "100-continue");
 }
 
 Result<CallerRequest> CallerRequestReader::take(const RequestId &request)
@@ -133,19 +92,4 @@
     return result;
 }
 
-Error CallerRequestReader::errorFor(const boost::system::error_code &error) const
-{
-    if (error == http::error::header_limit) {
-        return Error { ResultCode::HeadersTooLarge,
-                       "The header is longer than " + std::to_string(settings_.maxHeaderBytes) + " bytes.",
-                       {} };
-    }
-    if (error == http::error::body_limit) {
-        return Error { ResultCode::BodyTooLarge,
-                       "The body is longer than " + std::to_string(settings_.maxBodyBytes) + " bytes.",
-                       {} };
-    }
-    return malformed("The request is not well-formed: " + error.message() + ".");
-}
-
 } // namespace GeraniumLever
--- a/platform/http/caller_server.cpp
+++ b/drivers/http/caller_server.cpp
@@ -1,11 +1,11 @@
-#include "platform/http/caller_server.h"
+#include "drivers/http/caller_server.h"
 
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
-#include "platform/http/caller_connection.h"
-#include "platform/http/listener.h"
+#include "drivers/http/caller_connection.h"
+#include "drivers/http/listener.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/client_connection.cpp
+++ b/drivers/http/client_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/client_connection.h"
+#include "drivers/http/client_connection.h"
 
 #include <utility>
 
--- a/platform/http/client_connection.h
+++ b/drivers/http/client_connection.h
@@ -26,6 +26,11 @@
 
     const std::string &address() const { return address_; }
 
+    /** How long the connection may be idle and still be used again; what lies between the two ends, or the peer, may
+     *  have forgotten it afterwards. */
+    std::chrono::steady_clock::duration idleLimit() const { return idleLimit_; }
+    void setIdleLimit(std::chrono::steady_clock::duration limit) { idleLimit_ = limit; }
+
     /** False if the peer has closed an idle connection or has sent something unasked. Does not block. */
     bool idleAndUsable();
 
@@ -35,6 +40,7 @@
     std::string address_;
     Socket socket_;
     boost::beast::flat_buffer input_;
+    std::chrono::steady_clock::duration idleLimit_ = std::chrono::seconds(15);
 };
 
 } // namespace GeraniumLever
--- a/platform/http/connection_pool.cpp
+++ b/drivers/http/connection_pool.cpp
@@ -1,17 +1,10 @@
-#include "platform/http/connection_pool.h"
+#include "drivers/http/connection_pool.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace GeraniumLever {
 
-namespace {
-
-/** Older idle connections are not reused: what lies between the two ends may have forgotten them. */
-constexpr std::chrono::seconds MaxIdleTime(15);
-
-} // namespace
-
 ConnectionPool::ConnectionPool(std::size_t maxIdlePerAddress) : maxIdlePerAddress_(maxIdlePerAddress) { }
 
 std::shared_ptr<ClientConnection> ConnectionPool::take(const std::string &address)
@@ -20,14 +13,14 @@
     if (found == idle_.end()) {
         return nullptr;
     }
-    const std::chrono::steady_clock::time_point oldest = std::chrono::steady_clock::now() - MaxIdleTime;
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     std::shared_ptr<ClientConnection> usable;
     while (usable == nullptr && !found->second.empty()) {
         const IdleConnection candidate = std::move(found->second.back());
         found->second.pop_back();
         boost::system::error_code ignored;
         candidate.connection->socket().cancel(ignored);
-        if (candidate.since >= oldest && candidate.connection->idleAndUsable()) {
+        if (now - candidate.since <= candidate.connection->idleLimit() && candidate.connection->idleAndUsable()) {
             usable = candidate.connection;
         } else {
             candidate.connection->close();
--- a/platform/http/endpoint.cpp
+++ b/drivers/http/endpoint.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/endpoint.h"
+#include "drivers/http/endpoint.h"
 
 #include <charconv>
 
--- a/platform/http/error_body.cpp
+++ b/drivers/http/error_body.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/error_body.h"
+#include "drivers/http/error_body.h"
 
 #include <algorithm>
 
--- a/platform/http/http_client.cpp
+++ b/drivers/http/http_client.cpp
@@ -1,9 +1,9 @@
-#include "platform/http/http_client.h"
+#include "drivers/http/http_client.h"
 
 #include <unordered_set>
 #include <utility>
 
-#include "platform/http/http_exchange.h"
+#include "drivers/http/http_exchange.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/http_exchange.cpp
+++ b/drivers/http/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/http_exchange.h"
+#include "drivers/http/http_exchange.h"
 
 #include <utility>
 
--- a/platform/http/http_exchange.h
+++ b/drivers/http/http_exchange.h
@@ -9,8 +9,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "platform/http/http_client.h"
-#include "platform/http/request_sender.h"
+#include "drivers/http/http_client.h"
+#include "drivers/http/request_sender.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/key_hash.cpp
+++ b/drivers/http/key_hash.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/key_hash.h"
+#include "drivers/http/key_hash.h"
 
 #include <array>
 
--- a/platform/http/listener.cpp
+++ b/drivers/http/listener.cpp
@@ -1,9 +1,9 @@
-#include "platform/http/listener.h"
+#include "drivers/http/listener.h"
 
 #include <optional>
 #include <utility>
 
-#include "platform/http/endpoint.h"
+#include "drivers/http/endpoint.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/listener.h
+++ b/drivers/http/listener.h
@@ -9,7 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "core/core.h"
-#include "platform/http/client_connection.h"
+#include "drivers/http/client_connection.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/operator_connection.cpp
+++ b/drivers/http/operator_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/operator_connection.h"
+#include "drivers/http/operator_connection.h"
 
 #include <string_view>
 #include <utility>
@@ -6,8 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "platform/http/error_body.h"
-#include "platform/http/key_hash.h"
+#include "drivers/http/error_body.h"
+#include "drivers/http/key_hash.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/operator_connection.h
+++ b/drivers/http/operator_connection.h
@@ -9,8 +9,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include "platform/http/client_connection.h"
-#include "platform/http/operator_server.h"
+#include "drivers/http/client_connection.h"
+#include "drivers/http/operator_server.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/operator_server.cpp
+++ b/drivers/http/operator_server.cpp
@@ -1,10 +1,10 @@
-#include "platform/http/operator_server.h"
+#include "drivers/http/operator_server.h"
 
 #include <unordered_set>
 #include <utility>
 
-#include "platform/http/listener.h"
-#include "platform/http/operator_connection.h"
+#include "drivers/http/listener.h"
+#include "drivers/http/operator_connection.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/output_queue.cpp
+++ b/drivers/http/output_queue.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/output_queue.h"
+#include "drivers/http/output_queue.h"
 
 #include <utility>
 
--- a/platform/http/output_queue.h
+++ b/drivers/http/output_queue.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "platform/http/client_connection.h"
+#include "drivers/http/client_connection.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/caller_request_reader.h
+++ b/drivers/http/request_parser.h
@@ -1,4 +1,4 @@
-/** Parsing of one caller's request. */
+/** Parsing of one HTTP/1.1 request whose body is taken whole. */
 #pragma once
 
 #include <optional>
@@ -7,21 +7,23 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "core/core.h"
-#include "platform/http/append_body.h"
-#include "platform/http/caller_server.h"
+#include "drivers/http/append_body.h"
 
 namespace GeraniumLever {
 
-/** Takes received bytes until a request is whole or cannot be accepted. */
-class CallerRequestReader
+/** Takes received bytes until a request is whole or cannot be accepted. Requests that two programs could read
+ *  differently are not accepted. */
+class RequestParser
 {
 public:
-    /** The settings must outlive the reader. */
-    explicit CallerRequestReader(const CallerServerSettings &settings);
+    using Message = boost::beast::http::request<AppendBody>;
+
+    RequestParser(std::size_t maxHeaderBytes, std::size_t maxBodyBytes);
 
     /** Consumes bytes from input. Returns the error for which the request is to be refused, if any. */
     std::optional<Error> feed(boost::beast::flat_buffer &input);
 
+    bool headerComplete() const { return parser_.is_header_done(); }
     bool complete() const { return parser_.is_done(); }
 
     /** The header has arrived, and the caller waits for "100 Continue" before it sends the body. True only once. */
@@ -29,13 +31,16 @@
 
     /** Both require complete(). */
     bool keepAlive() const { return parser_.keep_alive(); }
-    Result<CallerRequest> take(const RequestId &request);
+    Message release() { return parser_.release(); }
 
 private:
     Error errorFor(const boost::system::error_code &error) const;
+    std::optional<Error> checkFraming();
 
-    const CallerServerSettings &settings_;
+    std::size_t maxHeaderBytes_;
+    std::size_t maxBodyBytes_;
     boost::beast::http::request_parser<AppendBody> parser_;
+    bool framingChecked_ = false;
     bool expectationTaken_ = false;
 };
 
--- a/platform/http/request_sender.cpp
+++ b/drivers/http/request_sender.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/request_sender.h"
+#include "drivers/http/request_sender.h"
 
 #include <optional>
 #include <utility>
@@ -6,7 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/http/write.hpp>
 
-#include "platform/http/endpoint.h"
+#include "drivers/http/endpoint.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/request_sender.h
+++ b/drivers/http/request_sender.h
@@ -11,7 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/core.h"
-#include "platform/http/connection_pool.h"
+#include "drivers/http/connection_pool.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/upstream_client.cpp
+++ b/drivers/http/upstream_client.cpp
@@ -1,14 +1,14 @@
-#include "platform/http/upstream_client.h"
+#include "drivers/http/upstream_client.h"
 
 #include <algorithm>
 #include <map>
 #include <unordered_map>
 #include <utility>
 
-#include "platform/http/http_client.h"
-#include "platform/http/upstream_exchange.h"
-#include "platform/http/upstream_reports.h"
-#include "platform/http/upstream_watcher.h"
+#include "drivers/http/http_client.h"
+#include "drivers/http/upstream_exchange.h"
+#include "drivers/http/upstream_reports.h"
+#include "drivers/http/upstream_watcher.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/upstream_exchange.cpp
+++ b/drivers/http/upstream_exchange.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/upstream_exchange.h"
+#include "drivers/http/upstream_exchange.h"
 
 #include <charconv>
 #include <optional>
--- a/platform/http/upstream_exchange.h
+++ b/drivers/http/upstream_exchange.h
@@ -9,10 +9,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include "platform/http/append_body.h"
-#include "platform/http/event_stream_parser.h"
-#include "platform/http/request_sender.h"
-#include "platform/http/upstream_client.h"
+#include "drivers/http/append_body.h"
+#include "drivers/http/event_stream_parser.h"
+#include "drivers/http/request_sender.h"
+#include "drivers/http/upstream_client.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/upstream_reports.cpp
+++ b/drivers/http/upstream_reports.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/upstream_reports.h"
+#include "drivers/http/upstream_reports.h"
 
 #include <charconv>
 #include <limits>
--- a/platform/http/upstream_watcher.cpp
+++ b/drivers/http/upstream_watcher.cpp
@@ -1,9 +1,9 @@
-#include "platform/http/upstream_watcher.h"
+#include "drivers/http/upstream_watcher.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/http/upstream_reports.h"
+#include "drivers/http/upstream_reports.h"
 
 namespace GeraniumLever {
 
--- a/platform/http/upstream_watcher.h
+++ b/drivers/http/upstream_watcher.h
@@ -6,8 +6,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "platform/http/http_client.h"
-#include "platform/http/upstream_client.h"
+#include "drivers/http/http_client.h"
+#include "drivers/http/upstream_client.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/encoded_size.cpp
+++ b/drivers/mesh/encoded_size.cpp
@@ -1,9 +1,9 @@
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/mesh.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
-#include "platform/mesh/message_codec.h"
+#include "drivers/mesh/message_codec.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/event_relay.cpp
+++ b/drivers/mesh/event_relay.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/event_relay.h"
+#include "drivers/mesh/event_relay.h"
 
 #include <utility>
 
--- a/platform/mesh/mesh.cpp
+++ b/drivers/mesh/mesh.cpp
@@ -1,12 +1,12 @@
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/mesh.h"
 
 #include <future>
 #include <thread>
 #include <utility>
 
-#include "platform/mesh/event_relay.h"
-#include "platform/mesh/mesh_inbox.h"
-#include "platform/mesh/mesh_thread.h"
+#include "drivers/mesh/event_relay.h"
+#include "drivers/mesh/mesh_inbox.h"
+#include "drivers/mesh/mesh_thread.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/mesh_inbox.cpp
+++ b/drivers/mesh/mesh_inbox.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/mesh_inbox.h"
+#include "drivers/mesh/mesh_inbox.h"
 
 #include <utility>
 
--- a/platform/mesh/mesh_inbox.h
+++ b/drivers/mesh/mesh_inbox.h
@@ -8,7 +8,7 @@
 #include <kj/async.h>
 
 #include "core/core.h"
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/mesh.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/mesh_thread.cpp
+++ b/drivers/mesh/mesh_thread.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/mesh_thread.h"
+#include "drivers/mesh/mesh_thread.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 #include <glog/logging.h>
 #include <kj/exception.h>
 
-#include "platform/mesh/node_server.h"
+#include "drivers/mesh/node_server.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/mesh_thread.h
+++ b/drivers/mesh/mesh_thread.h
@@ -6,10 +6,10 @@
 
 #include <kj/async-io.h>
 
-#include "platform/mesh/event_relay.h"
-#include "platform/mesh/mesh.h"
-#include "platform/mesh/mesh_inbox.h"
-#include "platform/mesh/peer_connection.h"
+#include "drivers/mesh/event_relay.h"
+#include "drivers/mesh/mesh.h"
+#include "drivers/mesh/mesh_inbox.h"
+#include "drivers/mesh/peer_connection.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/message_codec.h
+++ b/drivers/mesh/message_codec.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "core/core.h"
-#include "platform/mesh/generated/node.capnp.h"
+#include "drivers/mesh/generated/node.capnp.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/message_reader.cpp
+++ b/drivers/mesh/message_reader.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/message_codec.h"
+#include "drivers/mesh/message_codec.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/node.capnp
+++ b/drivers/mesh/node.capnp
@@ -1,7 +1,7 @@
 @0xb1f0c4a7d2e93856;
 # Remote interface of a node and the messages between nodes. Mirrors core/peer_messages.h field by field.
 # The code in generated/ is made by:
-#   capnp compile --src-prefix=platform/mesh -oc++:platform/mesh/generated platform/mesh/node.capnp
+#   capnp compile --src-prefix=drivers/mesh -oc++:drivers/mesh/generated drivers/mesh/node.capnp
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("GeraniumLever::Wire");
--- a/platform/mesh/node_server.cpp
+++ b/drivers/mesh/node_server.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/node_server.h"
+#include "drivers/mesh/node_server.h"
 
 #include <array>
 #include <utility>
@@ -8,7 +8,7 @@
 #include <openssl/crypto.h>
 #include <openssl/sha.h>
 
-#include "platform/mesh/message_codec.h"
+#include "drivers/mesh/message_codec.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/node_server.h
+++ b/drivers/mesh/node_server.h
@@ -4,9 +4,9 @@
 #include <map>
 #include <memory>
 
-#include "platform/mesh/event_relay.h"
-#include "platform/mesh/generated/node.capnp.h"
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/event_relay.h"
+#include "drivers/mesh/generated/node.capnp.h"
+#include "drivers/mesh/mesh.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/peer_connection.cpp
+++ b/drivers/mesh/peer_connection.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/peer_connection.h"
+#include "drivers/mesh/peer_connection.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,7 +6,7 @@
 #include <glog/logging.h>
 #include <kj/debug.h>
 
-#include "platform/mesh/message_codec.h"
+#include "drivers/mesh/message_codec.h"
 
 namespace GeraniumLever {
 
--- a/platform/mesh/peer_connection.h
+++ b/drivers/mesh/peer_connection.h
@@ -7,9 +7,9 @@
 #include <kj/async-io.h>
 #include <kj/timer.h>
 
-#include "platform/mesh/event_relay.h"
-#include "platform/mesh/generated/node.capnp.h"
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/event_relay.h"
+#include "drivers/mesh/generated/node.capnp.h"
+#include "drivers/mesh/mesh.h"
 
 namespace GeraniumLever {
 
--- a/platform/metrics/latency_histogram.cpp
+++ b/drivers/metrics/latency_histogram.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics/latency_histogram.h"
+#include "drivers/metrics/latency_histogram.h"
 
 #include <algorithm>
 #include <limits>
--- a/platform/metrics/metrics.h
+++ b/drivers/metrics/metrics.h
@@ -1,5 +1,5 @@
 /** Public header of the metrics package: counters, gauges and latency histograms as Prometheus text. */
 #pragma once
 
-#include "platform/metrics/latency_histogram.h"
-#include "platform/metrics/metrics_registry.h"
+#include "drivers/metrics/latency_histogram.h"
+#include "drivers/metrics/metrics_registry.h"
--- a/platform/metrics/metrics_registry.cpp
+++ b/drivers/metrics/metrics_registry.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics/metrics_registry.h"
+#include "drivers/metrics/metrics_registry.h"
 
 #include <cmath>
 #include <sstream>
--- a/platform/metrics/metrics_registry.h
+++ b/drivers/metrics/metrics_registry.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "platform/metrics/latency_histogram.h"
+#include "drivers/metrics/latency_histogram.h"
 
 namespace GeraniumLever {
 
--- /dev/null
+++ b/drivers/relay/relay_client.cpp
@@ -0,0 +1,80 @@
+#include "drivers/relay/relay_client.h"
+
+#include <utility>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Idle connections that are kept to one upstream. */
+constexpr std::size_t MaxIdlePerUpstream = 6;
+
+} // namespace
+
+RelayClient::RelayClient(boost::asio::io_context &context, const RelayDialect &dialect, RelayExchangeObserver &observer)
+    : context_(context)
+    , dialect_(dialect)
+    , observer_(observer)
+    , pool_(std::make_shared<ConnectionPool>(MaxIdlePerUpstream))
+{
+}
+
+RelayClient::~RelayClient()
+{
+    for (const auto &[attempt, exchange] : exchanges_) {
+        exchange->cancel();
+    }
+    pool_->clear();
+}
+
+void RelayClient::dispatch(RelayDispatch dispatch, RelayCallPtr call, const std::string &lastEventId)
+{
+    const AttemptId attempt = dispatch.attempt;
+    const std::shared_ptr<RelayExchange> exchange =
+        std::make_shared<RelayExchange>(context_, pool_, std::move(dispatch), std::move(call), dialect_, *this);
+    exchanges_.emplace(attempt, exchange);
+    exchange->start(lastEventId);
+}
+
+void RelayClient::cancel(const AttemptId &attempt)
+{
+    const auto found = exchanges_.find(attempt);
+    if (found == exchanges_.end()) {
+        return;
+    }
+    const std::shared_ptr<RelayExchange> exchange = found->second;
+    exchanges_.erase(found);
+    exchange->cancel();
+}
+
+void RelayClient::setReading(const AttemptId &attempt, bool enabled)
+{
+    const auto found = exchanges_.find(attempt);
+    if (found != exchanges_.end()) {
+        found->second->setReading(enabled);
+    }
+}
+
+void RelayClient::exchangeHead(const RelayHead &head, const RelayAnswer &answer)
+{
+    observer_.exchangeHead(head, answer);
+}
+
+void RelayClient::exchangeData(const AttemptId &attempt, std::string_view bytes, const std::string &lastEventId)
+{
+    observer_.exchangeData(attempt, bytes, lastEventId);
+}
+
+void RelayClient::exchangeEnded(const AttemptId &attempt)
+{
+    exchanges_.erase(attempt);
+    observer_.exchangeEnded(attempt);
+}
+
+void RelayClient::exchangeFailed(const RelayFailure &failure)
+{
+    exchanges_.erase(failure.attempt);
+    observer_.exchangeFailed(failure);
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/drivers/relay/relay_connection.cpp
@@ -0,0 +1,382 @@
+#include "drivers/relay/relay_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace GeraniumLever {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/** Input that may wait behind a request which is being answered. */
+constexpr std::size_t MaxHeldInput = 16 * 1024;
+/** Unsent bytes above which the upstream is read no further. */
+constexpr std::size_t BacklogBytes = 256 * 1024;
+/** A closing connection still takes this much input, so that the peer can read the answer before it sees a reset. */
+constexpr std::size_t MaxDroppedBytes = 8 * 1024 * 1024;
+constexpr int SendBufferBytes = 64 * 1024;
+constexpr std::chrono::seconds LingerTime(2);
+/** A body must have arrived this long after the header's own limit. */
+constexpr std::chrono::seconds BodyTime(20);
+/** An answer of which the caller takes nothing for so long is given up. */
+constexpr std::chrono::seconds StalledTime(60);
+constexpr Duration ArrivalRetryAfter = std::chrono::milliseconds(300);
+
+bool hasNoBody(unsigned status)
+{
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned NotModified = 304;
+    return status == NoContent || status == NotModified;
+}
+
+} // namespace
+
+RelayConnection::RelayConnection(boost::asio::io_context &, Socket socket, RelayConnectionOwner &owner)
+    : socket_(std::move(socket))
+    , owner_(owner)
+    , output_(socket_, [this](bool succeeded) { written(succeeded); })
+    , phaseSince_(std::chrono::steady_clock::now())
+{
+    boost::system::error_code ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket_.set_option(boost::asio::socket_base::send_buffer_size(SendBufferBytes), ignored);
+}
+
+void RelayConnection::start()
+{
+    read();
+}
+
+void RelayConnection::begin(const RelayAnswer &answer)
+{
+    begun_ = true;
+    std::string &head = output_.pending();
+    head.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(answer.reason).append("\r\n");
+    for (const http::fields::value_type &field : answer.fields) {
+        head.append(field.name_string()).append(": ").append(field.value()).append("\r\n");
+    }
+    chunked_ = false;
+    if (answer.length.has_value()) {
+        head.append("Content-Length: ").append(std::to_string(*answer.length)).append("\r\n");
+    } else if (!hasNoBody(answer.status) && !headRequest_) {
+        chunked_ = true;
+        head.append("Transfer-Encoding: chunked\r\n");
+    }
+    keepAlive_ = keepAlive_ && !owner_.closing();
+    if (!keepAlive_) {
+        head.append("Connection: close\r\n");
+    }
+    head.append("\r\n");
+}
+
+void RelayConnection::append(std::string_view bytes)
+{
+    if (headRequest_ || bytes.empty()) {
+        return;
+    }
+    std::string &pending = output_.pending();
+    if (chunked_) {
+        char size[20];
+        const std::to_chars_result text = std::to_chars(size, size + sizeof size, bytes.size(), 16);
+        pending.append(size, text.ptr).append("\r\n").append(bytes).append("\r\n");
+    } else {
+        pending.append(bytes);
+    }
+    flush();
+    checkBacklog();
+}
+
+void RelayConnection::finish()
+{
+    if (chunked_) {
+        output_.pending().append("0\r\n\r\n");
+    }
+    endAnswer();
+}
+
+void RelayConnection::refuse(const Error &error, Outcome outcome)
+{
+    writeError(error, outcome, keepAlive_ && !owner_.closing());
+    endAnswer();
+}
+
+void RelayConnection::writeError(const Error &error, Outcome outcome, bool keepAlive)
+{
+    keepAlive_ = keepAlive;
+    const std::string body = formatErrorBody(error, outcome);
+    RelayAnswer answer;
+    answer.status = httpStatusFor(error.code);
+    answer.reason = std::string(http::obsolete_reason(http::int_to_status(answer.status)));
+    answer.fields.set(http::field::content_type, "application/json");
+    owner_.dialect().markRefusal(answer.fields, error);
+    answer.length = body.size();
+    begin(answer);
+    if (!headRequest_) {
+        output_.pending().append(body);
+    }
+}
+
+void RelayConnection::close()
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    phase_ = Phase::Closed;
+    releaseInput();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+void RelayConnection::closeIfIdle()
+{
+    if (phase_ == Phase::Idle && output_.unsent() == 0) {
+        peerGone();
+    }
+}
+
+void RelayConnection::checkTime(std::chrono::steady_clock::time_point now)
+{
+    const std::chrono::steady_clock::duration passed = now - phaseSince_;
+    switch (phase_) {
+    case Phase::Idle:
+        if (passed > owner_.limits().idleTimeout) {
+            peerGone();
+        }
+        break;
+    case Phase::Reading:
+        if (passed > owner_.limits().headerTimeout
+            && (!parser_->headerComplete() || passed > owner_.limits().headerTimeout + BodyTime)) {
+            rejectInput(Error { ResultCode::RequestTimeout, "The request did not arrive whole in time.", {} });
+        }
+        break;
+    case Phase::Answering:
+        if (backlogged_ && passed > StalledTime) {
+            peerGone();
+        }
+        break;
+    case Phase::Closing:
+        if (passed > LingerTime) {
+            peerGone();
+        }
+        break;
+    case Phase::Closed:
+        break;
+    }
+}
+
+void RelayConnection::read()
+{
+    if (readPending_ || phase_ == Phase::Closed || input_.size() >= MaxHeldInput + owner_.limits().maxHeaderBytes) {
+        return;
+    }
+    readPending_ = true;
+    socket_.async_read_some(boost::asio::buffer(chunk_),
+                            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                                self->received(error, bytes);
+                            });
+}
+
+void RelayConnection::received(const boost::system::error_code &error, std::size_t bytes)
+{
+    readPending_ = false;
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    if (error) {
+        peerGone();
+        return;
+    }
+    if (phase_ == Phase::Closing) {
+        droppedBytes_ += bytes;
+        if (droppedBytes_ > MaxDroppedBytes) {
+            peerGone();
+            return;
+        }
+        read();
+        return;
+    }
+    input_.commit(boost::asio::buffer_copy(input_.prepare(bytes), boost::asio::buffer(chunk_, bytes)));
+    if (phase_ != Phase::Answering) {
+        parse(bytes);
+    }
+    read();
+}
+
+void RelayConnection::parse(std::size_t newBytes)
+{
+    if (phase_ == Phase::Idle) {
+        phase_ = Phase::Reading;
+        phaseSince_ = std::chrono::steady_clock::now();
+        parser_.emplace(owner_.limits().maxHeaderBytes, owner_.limits().maxBodyBytes);
+    }
+    if (!owner_.reserveInput(newBytes)) {
+        rejectInput(Error { ResultCode::QueueFull, "Too many requests are arriving.", ArrivalRetryAfter });
+        return;
+    }
+    heldInput_ += newBytes;
+    const std::optional<Error> error = parser_->feed(input_);
+    if (error.has_value()) {
+        rejectInput(*error);
+        return;
+    }
+    if (parser_->complete()) {
+        handOn();
+        return;
+    }
+    if (parser_->takeExpectation()) {
+        output_.pending().append("HTTP/1.1 100 Continue\r\n\r\n");
+        flush();
+    }
+}
+
+void RelayConnection::handOn()
+{
+    request_ = owner_.nextRequest();
+    keepAlive_ = parser_->keepAlive();
+    RequestParser::Message message = parser_->release();
+    parser_.reset();
+    if (input_.size() == 0) {
+        input_.clear();
+        input_.shrink_to_fit();
+    }
+    const std::shared_ptr<RelayCall> call = std::make_shared<RelayCall>();
+    call->facts.request = request_;
+    call->method = std::string(message.method_string());
+    call->target = std::string(message.target());
+    call->body = std::move(message.body());
+    call->fields = std::move(message.base());
+    removeConnectionFields(call->fields);
+    headRequest_ = call->method == "HEAD";
+    const std::optional<Error> fault = owner_.dialect().readRequest(*call);
+    if (fault.has_value()) {
+        rejectInput(*fault);
+        return;
+    }
+    begun_ = false;
+    phase_ = Phase::Answering;
+    phaseSince_ = std::chrono::steady_clock::now();
+    owner_.requestOpened(request_, shared_from_this());
+    owner_.observer().callArrived(call);
+}
+
+void RelayConnection::rejectInput(const Error &error)
+{
+    releaseInput();
+    parser_.reset();
+    owner_.observer().inputRejected(error);
+    headRequest_ = false;
+    writeError(error, Outcome::NotRun, false);
+    beginClosing();
+    flush();
+    lingerIfWritten();
+}
+
+void RelayConnection::flush()
+{
+    output_.flush(shared_from_this());
+}
+
+void RelayConnection::checkBacklog()
+{
+    const std::size_t unsent = output_.unsent();
+    const bool changed = backlogged_ ? unsent <= BacklogBytes / 2 : unsent > BacklogBytes;
+    if (!changed) {
+        return;
+    }
+    backlogged_ = !backlogged_;
+    phaseSince_ = std::chrono::steady_clock::now();
+    // Not reported from within a command.
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this(), request = request_, backlogged = backlogged_] {
+                          if (self->phase_ == Phase::Answering && self->request_ == request) {
+                              self->owner_.observer().callerBacklog(request, backlogged);
+                          }
+                      });
+}
+
+void RelayConnection::endAnswer()
+{
+    owner_.requestClosed(request_);
+    releaseInput();
+    backlogged_ = false;
+    begun_ = false;
+    if (!keepAlive_) {
+        beginClosing();
+        flush();
+        lingerIfWritten();
+        return;
+    }
+    phase_ = Phase::Idle;
+    phaseSince_ = std::chrono::steady_clock::now();
+    flush();
+    if (input_.size() == 0) {
+        return;
+    }
+    // Not parsed from within a command.
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (self->phase_ == Phase::Idle && self->input_.size() != 0) {
+            self->parse(self->input_.size());
+            self->read();
+        }
+    });
+}
+
+void RelayConnection::beginClosing()
+{
+    phase_ = Phase::Closing;
+    phaseSince_ = std::chrono::steady_clock::now();
+    input_.clear();
+}
+
+void RelayConnection::lingerIfWritten()
+{
+    if (output_.unsent() == 0 && phase_ == Phase::Closing) {
+        boost::system::error_code ignored;
+        socket_.shutdown(Socket::shutdown_send, ignored);
+    }
+}
+
+void RelayConnection::written(bool succeeded)
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    if (!succeeded) {
+        peerGone();
+        return;
+    }
+    if (phase_ == Phase::Answering) {
+        checkBacklog();
+    }
+    lingerIfWritten();
+}
+
+void RelayConnection::peerGone()
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    const bool answering = phase_ == Phase::Answering;
+    const std::shared_ptr<RelayConnection> self = shared_from_this();
+    close();
+    if (answering) {
+        owner_.requestClosed(request_);
+    }
+    owner_.connectionClosed(self);
+    if (answering) {
+        owner_.observer().callerGone(request_);
+    }
+}
+
+void RelayConnection::releaseInput()
+{
+    owner_.releaseInput(heldInput_);
+    heldInput_ = 0;
+}
+
+} // namespace GeraniumLever
--- a/platform/settings/settings.cpp
+++ b/drivers/settings/settings.cpp
@@ -1,58 +1,14 @@
-#include "platform/settings/settings.h"
+#include "drivers/settings/settings.h"
 
 #include <algorithm>
-#include <fstream>
 #include <set>
-#include <sstream>
 
-#include "servers/yaml/yaml.h"
+#include "drivers/settings/setting_checks.h"
 
 namespace GeraniumLever {
 
 namespace {
 
-void readAddress(FieldReader &reader, const std::string &key, std::string &target)
-{
-    reader.read(key, target);
-    if (reader.has(key) && !isSocketAddress(target)) {
-        reader.fault(key, "must have the form a.b.c.d:port");
-    }
-}
-
-void readRequiredAddress(FieldReader &reader, const std::string &key, std::string &target)
-{
-    reader.require(key);
-    readAddress(reader, key, target);
-}
-
-template<typename Tag>
-void readRequiredName(FieldReader &reader, const std::string &key, Name<Tag> &target)
-{
-    reader.require(key);
-    reader.read(key, target);
-    if (reader.has(key) && !isName(target.text())) {
-        reader.fault(key, "must be 1 to 128 letters, digits and . _ - : /");
-    }
-}
-
-void readPositive(FieldReader &reader, const std::string &key, std::size_t &target)
-{
-    std::uint64_t value = target;
-    reader.read(key, value);
-    target = static_cast<std::size_t>(value);
-    if (reader.has(key) && value == 0) {
-        reader.fault(key, "must be above 0");
-    }
-}
-
-void readPositive(FieldReader &reader, const std::string &key, Duration &target)
-{
-    reader.read(key, target);
-    if (reader.has(key) && target <= Duration::zero()) {
-        reader.fault(key, "must be above 0");
-    }
-}
-
 void readKeyHashes(FieldReader &reader, Settings &settings)
 {
     reader.read("operator_key_hashes", settings.operatorKeyHashes);
@@ -165,13 +121,11 @@
 
 SettingsResult readSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    std::stringstream content;
-    content << file.rdbuf();
-    if (!file.good()) {
-        return std::vector<Fault> { Fault { 0, path + " cannot be read" } };
+    const std::variant<std::string, Fault> text = readSettingsText(path);
+    if (const Fault *fault = std::get_if<Fault>(&text)) {
+        return std::vector<Fault> { *fault };
     }
-    return parseSettings(content.str());
+    return parseSettings(std::get<std::string>(text));
 }
 
 } // namespace GeraniumLever
--- a/platform/settings/settings.h
+++ b/drivers/settings/settings.h
@@ -1,4 +1,4 @@
-/** Public header of the settings package: the YAML settings file of a node. */
+/** Public header of the settings package: the YAML settings files of a node and of a relay. */
 #pragma once
 
 #include <string>
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "drivers/settings/relay_settings.h"
 
 namespace GeraniumLever {
 
--- a/platform/store/store_client.cpp
+++ b/drivers/store/store_client.cpp
@@ -1,13 +1,13 @@
-#include "platform/store/store.h"
+#include "drivers/store/store.h"
 
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
-#include "platform/http/http.h"
-#include "platform/store/table_codec.h"
-#include "platform/store/vm_list_codec.h"
+#include "drivers/http/http.h"
+#include "drivers/store/table_codec.h"
+#include "drivers/store/vm_list_codec.h"
 
 namespace GeraniumLever {
 
--- a/platform/store/vm_list_codec.cpp
+++ b/drivers/store/vm_list_codec.cpp
@@ -1,4 +1,4 @@
-#include "platform/store/vm_list_codec.h"
+#include "drivers/store/vm_list_codec.h"
 
 #include <boost/json.hpp>
 
--- a/main/geraniumctl/file_commands.cpp
+++ b/main/geraniumctl/file_commands.cpp
@@ -6,9 +6,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "drivers/settings/settings.h"
 #include "main/geraniumctl/commands.h"
 #include "main/geraniumctl/replies.h"
-#include "platform/settings/settings.h"
 #include "servers/tickets/tickets.h"
 #include "servers/yaml/yaml.h"
 
--- a/main/geraniumctl/operator_commands.cpp
+++ b/main/geraniumctl/operator_commands.cpp
@@ -1,5 +1,4 @@
 #include <charconv>
-#include <cstdio>
 #include <iterator>
 #include <ostream>
 #include <string_view>
@@ -49,22 +48,6 @@
     return value ? "yes" : "no";
 }
 
-std::string percentEncoded(const std::string &text)
-{
-    constexpr std::string_view Unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
-    std::string encoded;
-    for (const char character : text) {
-        if (Unreserved.find(character) != std::string_view::npos) {
-            encoded += character;
-            continue;
-        }
-        char escape[4];
-        std::snprintf(escape, sizeof escape, "%%%02X", static_cast<unsigned>(static_cast<unsigned char>(character)));
-        encoded += escape;
-    }
-    return encoded;
-}
-
 } // namespace
 
 ExitCode runCommand(CommandContext &context)
--- a/main/geraniumctl/operator_session.h
+++ b/main/geraniumctl/operator_session.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/core.h"
-#include "platform/http/http.h"
+#include "drivers/http/http.h"
 
 namespace GeraniumLever {
 
--- a/main/node/admin_handler.h
+++ b/main/node/admin_handler.h
@@ -6,9 +6,9 @@
 #include <string>
 
 #include "core/core.h"
+#include "drivers/http/http.h"
 #include "main/node/decision_log.h"
 #include "main/node/node_logic.h"
-#include "platform/http/http.h"
 
 namespace GeraniumLever {
 
--- a/main/node/decision_log.cpp
+++ b/main/node/decision_log.cpp
@@ -4,6 +4,8 @@
 
 #include <glog/logging.h>
 
+#include "drivers/log/log.h"
+
 namespace GeraniumLever {
 
 namespace {
@@ -28,16 +30,4 @@
     return std::vector<std::string>(lines_.end() - static_cast<std::ptrdiff_t>(taken), lines_.end());
 }
 
-std::string formatDecision(const Decision &decision)
-{
-    std::string line = "decision=" + decision.kind;
-    for (const auto &[name, value] : decision.fields) {
-        line += ' ';
-        line += name;
-        line += '=';
-        line += value;
-    }
-    return line;
-}
-
 } // namespace GeraniumLever
--- a/main/node/decision_log.h
+++ b/main/node/decision_log.h
@@ -22,7 +22,4 @@
     std::deque<std::string> lines_;
 };
 
-/** The line without a trailing newline. */
-std::string formatDecision(const Decision &decision);
-
 } // namespace GeraniumLever
--- a/main/node/entry_node.cpp
+++ b/main/node/entry_node.cpp
@@ -6,13 +6,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "drivers/http/http.h"
+#include "drivers/mesh/mesh.h"
+#include "drivers/store/store.h"
 #include "main/node/admin_handler.h"
 #include "main/node/decision_log.h"
 #include "main/node/node_logic.h"
 #include "main/node/node_metrics.h"
-#include "platform/http/http.h"
-#include "platform/mesh/mesh.h"
-#include "platform/store/store.h"
 
 namespace GeraniumLever {
 
--- a/main/node/entry_node.h
+++ b/main/node/entry_node.h
@@ -7,7 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "core/core.h"
-#include "platform/settings/settings.h"
+#include "drivers/settings/settings.h"
 
 namespace GeraniumLever {
 
--- a/main/node/node_metrics.h
+++ b/main/node/node_metrics.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "core/core.h"
+#include "drivers/metrics/metrics.h"
 #include "main/node/node_logic.h"
-#include "platform/metrics/metrics.h"
 
 namespace GeraniumLever {
 
--- /dev/null
+++ b/main/relay/knowledge_reader.cpp
@@ -0,0 +1,101 @@
+#include "main/relay/knowledge_reader.h"
+
+#include <random>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Two reads fit into the time in which a change must be known, so that one of them may fail. */
+constexpr int ReadsPerApplyTime = 2;
+/** Keeps the nodes' reads apart. */
+constexpr double PeriodSpread = 0.1;
+/** An answer takes milliseconds; a slow store answers within this time. */
+constexpr Duration CallTimeout = std::chrono::milliseconds(800);
+constexpr Duration PauseAfterFailure = std::chrono::milliseconds(250);
+
+} // namespace
+
+KnowledgeReader::KnowledgeReader(boost::asio::io_context &context,
+                                 const std::string &storeAddress,
+                                 Duration applyTime,
+                                 const Clock &clock,
+                                 KnowledgeObserver &observer)
+    : store_(context, storeAddress, CallTimeout)
+    , clock_(clock)
+    , observer_(observer)
+    , period_(applyTime / ReadsPerApplyTime)
+    , configurationTimer_(context)
+    , upstreamTimer_(context)
+    , random_(std::random_device()())
+{
+}
+
+void KnowledgeReader::start()
+{
+    readConfiguration();
+    readUpstreams();
+}
+
+void KnowledgeReader::stop()
+{
+    stopped_ = true;
+    configurationTimer_.cancel();
+    upstreamTimer_.cancel();
+}
+
+void KnowledgeReader::readConfiguration()
+{
+    const TimePoint asOf = clock_.now();
+    store_.readConfiguration([this, asOf](Result<SiteConfiguration> result) {
+        const bool read = succeeded(result);
+        noteResult(read ? std::nullopt : std::optional<Error>(errorOf(result)));
+        if (read) {
+            observer_.configurationRead(
+                std::make_shared<const SiteConfiguration>(std::get<SiteConfiguration>(std::move(result))), asOf);
+        }
+        schedule(configurationTimer_, read, &KnowledgeReader::readConfiguration);
+    });
+}
+
+void KnowledgeReader::readUpstreams()
+{
+    const TimePoint asOf = clock_.now();
+    store_.readUpstreams([this, asOf](Result<std::vector<UpstreamEntry>> result) {
+        const bool read = succeeded(result);
+        noteResult(read ? std::nullopt : std::optional<Error>(errorOf(result)));
+        if (read) {
+            observer_.upstreamsRead(std::get<std::vector<UpstreamEntry>>(std::move(result)), asOf);
+        }
+        schedule(upstreamTimer_, read, &KnowledgeReader::readUpstreams);
+    });
+}
+
+void KnowledgeReader::schedule(boost::asio::steady_timer &timer, bool succeeded, void (KnowledgeReader::*read)())
+{
+    if (stopped_) {
+        return;
+    }
+    timer.expires_after(random_.jittered(succeeded ? period_ : PauseAfterFailure, PeriodSpread));
+    timer.async_wait([this, read](const boost::system::error_code &failure) {
+        if (!failure && !stopped_) {
+            (this->*read)();
+        }
+    });
+}
+
+void KnowledgeReader::noteResult(const std::optional<Error> &error)
+{
+    const bool storeAnswered = !error.has_value() || error->code == ResultCode::ObjectNotFound;
+    if (!storeAnswered) {
+        storeLost_ = true;
+        observer_.readFailed(*error);
+        return;
+    }
+    if (storeLost_) {
+        storeLost_ = false;
+        observer_.storeRegained();
+    }
+}
+
+} // namespace GeraniumLever
--- a/servers/claims/claim_row.cpp
+++ b/servers/claims/claim_row.cpp
@@ -19,7 +19,8 @@
     return c > ' ' && c <= '~' && c != '/' && c != '%';
 }
 
-std::string percentEncoded(std::string_view text)
+/** Keeps the bytes that a row key may hold as they are, so that keys of earlier versions stay the same. */
+std::string escapedKeyPart(std::string_view text)
 {
     constexpr std::string_view Digits = "0123456789ABCDEF";
     constexpr unsigned HighShift = 4;
@@ -120,7 +121,7 @@
 
 std::string claimRowKey(const TeamName &team, const std::string &idempotencyKey)
 {
-    return "claim/" + percentEncoded(team.text()) + "/" + percentEncoded(idempotencyKey);
+    return "claim/" + escapedKeyPart(team.text()) + "/" + escapedKeyPart(idempotencyKey);
 }
 
 std::string formatClaimRow(const ClaimRow &row)
--- /dev/null
+++ b/servers/relay/relay_admission.cpp
@@ -0,0 +1,66 @@
+#include "servers/relay/relay_admission.h"
+
+#include <algorithm>
+
+namespace GeraniumLever {
+
+namespace {
+
+const PoolShare &pickPool(const std::vector<PoolShare> &pools, double draw)
+{
+    double sum = 0.0;
+    for (const PoolShare &share : pools) {
+        sum += share.weight;
+    }
+    double left = draw * sum;
+    for (const PoolShare &share : pools) {
+        left -= share.weight;
+        if (left < 0.0) {
+            return share;
+        }
+    }
+    return pools.front();
+}
+
+} // namespace
+
+Result<RelayRow> admitRelayRequest(const RelayRequest &request,
+                                   const ConfigurationKeeper &configuration,
+                                   const KnowledgeLimits &limits,
+                                   double draw,
+                                   TimePoint now)
+{
+    const RouteTablePtr &table = configuration.table();
+    if (table == nullptr) {
+        return Error { ResultCode::NotReady, "no configuration has arrived yet", ConfigurationRetryAfter };
+    }
+    const Route *route = table->match(request.host, request.path);
+    if (route == nullptr) {
+        return Error { ResultCode::UnknownPath, "no route serves this host and path", std::nullopt };
+    }
+    RelayRow row;
+    row.tier = route->tier;
+    if (table->needsKey(*route)) {
+        if (*configuration.age(now) > limits.keyLifetime) {
+            return Error { ResultCode::ConfigurationOutdated,
+                           "the newest known configuration is too old to check keys",
+                           ConfigurationRetryAfter };
+        }
+        const RouteTeam *team = table->teamOf(request.key);
+        if (team == nullptr) {
+            return Error { ResultCode::Unauthorized, "the key belongs to no team", std::nullopt };
+        }
+        row.team = team->name;
+        row.tier = team->tier.value_or(route->tier);
+    }
+    row.request = request;
+    row.table = table;
+    row.route = route;
+    row.pool = pickPool(route->pools, draw).pool;
+    row.traits = table->pool(row.pool);
+    row.arrivedAt = now;
+    row.deadline = now + std::min(request.deadline.value_or(route->timeout), route->timeout);
+    return row;
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/relay_budget.cpp
@@ -0,0 +1,47 @@
+#include "servers/relay/relay_budget.h"
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Part of the ratio that is used; the rest covers requests that are counted in another window than their repeat. */
+constexpr double RatioUsed = 0.75;
+/** Nodes for which the slack suffices if each uses its part at the same time. */
+constexpr double NodesOfSlack = 24.0;
+
+} // namespace
+
+void RelayBudget::noteRequest(TimePoint now)
+{
+    forgetOld(now);
+    requests_.push_back(now);
+}
+
+bool RelayBudget::spend(TimePoint now)
+{
+    if (available(now) < 1.0) {
+        return false;
+    }
+    repeats_.push_back(now);
+    return true;
+}
+
+double RelayBudget::available(TimePoint now)
+{
+    forgetOld(now);
+    const double earned = RatioUsed * allowance_.ratio * static_cast<double>(requests_.size());
+    return earned + allowance_.slack / NodesOfSlack - static_cast<double>(repeats_.size());
+}
+
+void RelayBudget::forgetOld(TimePoint now)
+{
+    const TimePoint oldest = now - allowance_.window;
+    while (!requests_.empty() && requests_.front() < oldest) {
+        requests_.pop_front();
+    }
+    while (!repeats_.empty() && repeats_.front() < oldest) {
+        repeats_.pop_front();
+    }
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/relay_placement.h
@@ -0,0 +1,69 @@
+/** Choice of the upstream for a relayed request. */
+#pragma once
+
+#include <optional>
+#include <set>
+
+#include "servers/relay/upstream_load.h"
+#include "servers/routing/routing.h"
+
+namespace GeraniumLever {
+
+/** What the choice depends on. */
+struct PlacementQuestion
+{
+    PoolName pool;
+    bool engine = false;
+    bool sharesPrompts = false;
+    /** Connections that one upstream accepts from all nodes together; 0 if no limit is stated. */
+    std::uint32_t maxConnections = 0;
+    PromptFacts prompt;
+    /** Upstreams that must not be chosen, since an attempt there has failed. */
+    std::set<UpstreamName> excluded;
+};
+
+/** An upstream, and why it was chosen. */
+struct Placement
+{
+    UpstreamName upstream;
+    std::string address;
+    /** Requests believed to be there. */
+    double load = 0.0;
+    /** True if the upstream was the first choice by the shared parts of the prompt. */
+    bool byPrefix = false;
+};
+
+/** Answers a rush with bounded loads: requests with equal prompt parts go to one engine as long as it has not clearly
+ *  more to do than the others; else, and for plain services, the least loaded upstream gets the request. */
+class RelayPlacement
+{
+public:
+    explicit RelayPlacement(DataCenterName dataCenter) : dataCenter_(std::move(dataCenter)) { }
+
+    /** Drops what is known of upstreams that are gone or have started again. */
+    void follow(const UpstreamDirectory &directory, const DirectoryChanges &changes);
+
+    /** The best upstream with room; nothing if there is none. */
+    std::optional<Placement> choose(const UpstreamDirectory &directory,
+                                    const PlacementQuestion &question,
+                                    TimePoint now) const;
+
+    /** Share of the pool's seats believed to be taken, over upstreams that take work; absent if there is none. */
+    std::optional<double> fillOf(const UpstreamDirectory &directory, const PoolName &pool, TimePoint now) const;
+
+    /** What is known of an upstream; created on first use. */
+    UpstreamLoad &load(const UpstreamName &name) { return loads_[name]; }
+
+private:
+    struct Candidate;
+
+    std::vector<Candidate> candidates(const UpstreamDirectory &directory,
+                                      const PlacementQuestion &question,
+                                      TimePoint now) const;
+    const UpstreamLoad *find(const UpstreamName &name) const;
+
+    DataCenterName dataCenter_;
+    std::map<UpstreamName, UpstreamLoad> loads_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/relay_system.cpp
@@ -0,0 +1,492 @@
+#include "servers/relay/relay_system.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace GeraniumLever {
+
+namespace {
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpServerError = 500;
+/** Connections that may fail before a request is given up; none of them reaches an upstream. */
+constexpr std::uint32_t MaxFailedConnects = 3;
+/** Share of the target for which a request waits for room; later it would hardly be answered in time. */
+constexpr double WaitShareOfTarget = 0.5;
+/** A broken stream goes on within this time, or is given up: callers leave after about two seconds without an event. */
+constexpr Duration ResumePatience = std::chrono::milliseconds(900);
+/** Requests of one pool that may wait at one node. */
+constexpr std::size_t MaxWaiting = 400;
+/** A repeat needs this much time to be worth its cost. */
+constexpr Duration ShortestUsefulTime = std::chrono::milliseconds(60);
+/** Without any part of an answer for so many targets, a repeatable request is sent elsewhere. */
+constexpr int SilenceTargets = 2;
+constexpr Duration ShortestSilence = std::chrono::milliseconds(500);
+/** A resumable stream without an event for so many gap targets goes on elsewhere. */
+constexpr int SilenceGaps = 4;
+
+void addField(Decision &decision, std::string name, std::string value)
+{
+    decision.fields.emplace_back(std::move(name), std::move(value));
+}
+
+Decision decide(std::string kind, const RelayRow &row)
+{
+    Decision decision { std::move(kind), {} };
+    addField(decision, "request", row.request.callerId);
+    addField(decision, "route", row.route->name);
+    addField(decision, "team", row.team.text());
+    addField(decision, "tier", std::to_string(row.tier));
+    addField(decision, "pool", row.pool.text());
+    addField(decision, "config", std::to_string(row.table->configuration().version.value()));
+    return decision;
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(toMilliseconds(duration));
+}
+
+} // namespace
+
+RelaySystem::RelaySystem(RelaySystemSettings settings)
+    : settings_(std::move(settings))
+    , placement_(settings_.dataCenter)
+    , returnTime_(settings_.seed)
+    , random_(settings_.seed + 1)
+{
+}
+
+// Knowledge.
+
+void RelaySystem::learnConfiguration(const SiteConfigurationPtr &configuration, TimePoint asOf, RelayCommands &commands)
+{
+    const ConfigurationVersion before = configuration_.version();
+    if (!configuration_.learn(configuration, asOf)) {
+        return;
+    }
+    Decision decision { "configuration", {} };
+    addField(decision, "version", std::to_string(configuration->version.value()));
+    addField(decision, "before", std::to_string(before.value()));
+    addField(decision, "routes", std::to_string(configuration->routes.size()));
+    addField(decision, "teams", std::to_string(configuration->teams.size()));
+    commands.emplace_back(std::move(decision));
+}
+
+void RelaySystem::learnUpstreams(const std::vector<UpstreamEntry> &list,
+                                 TimePoint asOf,
+                                 TimePoint now,
+                                 RelayCommands &commands)
+{
+    const DirectoryChanges changes = directory_.learn(list, asOf, now);
+    if (changes.empty()) {
+        return;
+    }
+    placement_.follow(directory_, changes);
+    const std::pair<const char *, const std::vector<UpstreamName> *> kinds[] = {
+        { "added", &changes.added },
+        { "leaving", &changes.leaving },
+        { "removed", &changes.removed },
+        { "restarted", &changes.restarted },
+    };
+    for (const auto &[change, names] : kinds) {
+        for (const UpstreamName &name : *names) {
+            Decision decision { "upstream", {} };
+            addField(decision, "upstream", name.text());
+            addField(decision, "change", change);
+            commands.emplace_back(std::move(decision));
+        }
+    }
+    for (auto &[pool, queue] : queues_) {
+        serveQueue(pool, now, commands);
+    }
+}
+
+// Requests.
+
+void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
+{
+    Result<RelayRow> admitted =
+        admitRelayRequest(request, configuration_, settings_.knowledge, random_.fraction(), now);
+    if (!succeeded(admitted)) {
+        const Error &error = errorOf(admitted);
+        Decision decision { "reject", {} };
+        addField(decision, "request", request.callerId);
+        addField(decision, "code", std::string(resultCodeName(error.code)));
+        addField(decision, "config", std::to_string(configuration_.version().value()));
+        const std::optional<Duration> age = configuration_.age(now);
+        addField(decision, "config_age_ms", age.has_value() ? milliseconds(*age) : "none");
+        commands.emplace_back(std::move(decision));
+        measured_.push_back({ 0, Outcome::NotRun, error.code, std::nullopt, Duration(0), 0 });
+        commands.emplace_back(RelayRefusal { request.request, error, Outcome::NotRun });
+        return;
+    }
+    RelayRow &row = rows_.put(request.request, std::move(std::get<RelayRow>(admitted)));
+    budgetOf(row.pool).noteRequest(now);
+    place(row, now, commands);
+}
+
+void RelaySystem::callerGone(const RequestId &request, TimePoint now, RelayCommands &commands)
+{
+    RelayRow *row = rows_.edit(request);
+    if (row == nullptr) {
+        return;
+    }
+    row->callerGone = true;
+    const bool letFinish = row->phase != RelayPhase::Waiting && !row->repeatable() && !row->route->streamed;
+    if (letFinish) {
+        return;
+    }
+    if (row->phase == RelayPhase::Waiting) {
+        queues_[row->pool].erase(row->tier, row->team, request);
+    } else {
+        commands.emplace_back(RelayCancel { row->attempt });
+        row->mayHaveRun = true;
+        endAttempt(*row);
+    }
+    const PoolName pool = row->pool;
+    finish(*row, row->mayHaveRun ? Outcome::Failed : Outcome::NotRun, ResultCode::CallerGone, now, commands);
+    serveQueue(pool, now, commands);
+}
+
+void RelaySystem::place(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    RelayQueue &queue = queues_[row.pool];
+    if (queue.ahead(row.tier) == 0 && tryPlace(row, now, commands)) {
+        return;
+    }
+    wait(row, now, commands);
+}
+
+bool RelaySystem::tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    PlacementQuestion question;
+    question.pool = row.pool;
+    question.engine = row.traits != nullptr && row.traits->engines;
+    question.sharesPrompts = row.route->sharesPrompts;
+    question.maxConnections = row.traits == nullptr ? 0 : row.traits->maxConnections;
+    question.prompt = row.request.prompt;
+    question.excluded = row.tried;
+    const std::optional<Placement> placement = placement_.choose(directory_, question, now);
+    if (!placement.has_value()) {
+        return false;
+    }
+    dispatch(row, *placement, now, commands);
+    return true;
+}
+
+void RelaySystem::dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands)
+{
+    const bool resumes = row.phase == RelayPhase::Answering || row.firstByte.has_value();
+    row.phase = resumes ? RelayPhase::Answering : RelayPhase::Sent;
+    row.attempt = AttemptId(settings_.origin, ++lastAttempt_);
+    row.upstream = placement.upstream;
+    row.dispatchedAt = now;
+    row.progressAt = now;
+    ++row.attempts;
+    attempts_.emplace(row.attempt, row.request.request);
+    placement_.load(row.upstream).begin(row.tokens());
+    returnTime_.noteServed(now);
+
+    Decision decision = decide("dispatch", row);
+    addField(decision, "upstream", placement.upstream.text());
+    addField(decision, "load", std::to_string(static_cast<int>(placement.load)));
+    addField(decision, "by_prefix", placement.byPrefix ? "true" : "false");
+    addField(decision, "attempt", std::to_string(row.attempts));
+    addField(decision, "wait_ms", milliseconds(now - row.arrivedAt));
+    commands.emplace_back(std::move(decision));
+
+    RelayDispatch command;
+    command.request = row.request.request;
+    command.attempt = row.attempt;
+    command.upstream = placement.upstream;
+    command.address = placement.address;
+    command.team = row.team;
+    command.timeLeft = row.deadline - now;
+    command.tier = row.tier;
+    command.engine = row.traits != nullptr && row.traits->engines;
+    command.streamed = row.route->streamed;
+    command.resumable = row.route->resumable;
+    command.resumes = resumes;
+    command.freshConnection = !row.repeatable();
+    commands.emplace_back(std::move(command));
+}
+
+void RelaySystem::wait(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    const std::optional<double> fill = placement_.fillOf(directory_, row.pool, now);
+    RelayQueue &queue = queues_[row.pool];
+    if (!fill.has_value() && !row.firstByte.has_value()) {
+        giveUp(row, ResultCode::NoUpstream, now, commands);
+        return;
+    }
+    if (queue.size() >= MaxWaiting) {
+        giveUp(row, ResultCode::QueueFull, now, commands);
+        return;
+    }
+    const Duration patience = row.firstByte.has_value()
+        ? ResumePatience
+        : std::chrono::duration_cast<Duration>(row.route->target * WaitShareOfTarget);
+    row.phase = RelayPhase::Waiting;
+    row.waitUntil = std::min(row.deadline, now + patience);
+    queue.push(row.tier, row.team, row.request.request);
+    Decision decision = decide("wait", row);
+    addField(decision, "ahead", std::to_string(queue.ahead(row.tier) - 1));
+    addField(decision, "fill_percent", std::to_string(static_cast<int>(fill.value_or(0.0) * 100.0)));
+    commands.emplace_back(std::move(decision));
+}
+
+void RelaySystem::serveQueue(const PoolName &pool, TimePoint now, RelayCommands &commands)
+{
+    const auto found = queues_.find(pool);
+    if (found == queues_.end()) {
+        return;
+    }
+    RelayQueue &queue = found->second;
+    while (const std::optional<RequestId> next = queue.front()) {
+        RelayRow &row = *rows_.edit(*next);
+        if (!tryPlace(row, now, commands)) {
+            return;
+        }
+        queue.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
+        queue.erase(row.tier, row.team, *next);
+    }
+}
+
+// Attempts.
+
+void RelaySystem::headArrived(const RelayHead &head, TimePoint now, RelayCommands &commands)
+{
+    RelayRow *row = rowOf(head.attempt);
+    if (row == nullptr) {
+        return;
+    }
+    UpstreamLoad &load = placement_.load(row->upstream);
+    if (head.load.has_value()) {
+        load.state(*head.load, now);
+    }
+    if (head.notRun) {
+        commands.emplace_back(RelayCancel { head.attempt });
+        load.noteFull(now);
+        row->tried.insert(row->upstream);
+        endAttempt(*row);
+        retry(*row, ResultCode::UpstreamFull, now, commands);
+        return;
+    }
+    if (head.status >= HttpServerError || (row->firstByte.has_value() && head.status != HttpOk)) {
+        load.noteFailed(now);
+        if (row->firstByte.has_value() || (row->repeatable() && mayRetry(*row, now))) {
+            commands.emplace_back(RelayCancel { head.attempt });
+            row->tried.insert(row->upstream);
+            row->mayHaveRun = true;
+            endAttempt(*row);
+            retry(*row, ResultCode::UpstreamFailed, now, commands);
+            return;
+        }
+    } else {
+        load.noteAnswered(now);
+    }
+    row->phase = RelayPhase::Answering;
+    row->progressAt = now;
+    if (!row->firstByte.has_value()) {
+        row->firstByte = now - row->arrivedAt;
+    }
+    commands.emplace_back(RelayAccept { head.attempt });
+}
+
+void RelaySystem::progressed(const RelayProgress &progress, TimePoint now)
+{
+    RelayRow *row = rowOf(progress.attempt);
+    if (row != nullptr) {
+        row->progressAt = now;
+    }
+}
+
+void RelaySystem::ended(const RelayEnd &end, TimePoint now, RelayCommands &commands)
+{
+    RelayRow *row = rowOf(end.attempt);
+    if (row == nullptr) {
+        return;
+    }
+    const PoolName pool = row->pool;
+    endAttempt(*row);
+    finish(*row, Outcome::Answered, ResultCode::Ok, now, commands);
+    serveQueue(pool, now, commands);
+}
+
+void RelaySystem::failed(const RelayFailure &failure, TimePoint now, RelayCommands &commands)
+{
+    RelayRow *row = rowOf(failure.attempt);
+    if (row == nullptr) {
+        return;
+    }
+    const PoolName pool = row->pool;
+    placement_.load(row->upstream).noteFailed(now);
+    row->tried.insert(row->upstream);
+    endAttempt(*row);
+    if (failure.kind == RelayFailure::Kind::NotConnected) {
+        ++row->failedConnects;
+        --row->attempts;
+        retry(*row, ResultCode::UpstreamRefused, now, commands);
+    } else {
+        row->mayHaveRun = true;
+        const bool garbled = failure.kind == RelayFailure::Kind::Garbled;
+        retry(*row, garbled ? ResultCode::CrossedAnswer : ResultCode::UpstreamLost, now, commands);
+    }
+    serveQueue(pool, now, commands);
+}
+
+bool RelaySystem::mayRetry(const RelayRow &row, TimePoint now)
+{
+    const bool spent = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
+    const bool onceOnly = row.mayHaveRun && !row.repeatable();
+    const bool begun = row.firstByte.has_value() && !row.route->resumable;
+    return !row.callerGone && !spent && !onceOnly && !begun && row.deadline - now >= ShortestUsefulTime;
+}
+
+void RelaySystem::retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands)
+{
+    row.cause = cause;
+    Decision decision = decide("attempt_failed", row);
+    addField(decision, "upstream", row.upstream.text());
+    addField(decision, "code", std::string(resultCodeName(cause)));
+    addField(decision, "attempt", std::to_string(row.attempts));
+    addField(decision, "after_ms", milliseconds(now - row.dispatchedAt));
+    commands.emplace_back(std::move(decision));
+    // An attempt that never reached an upstream is no repeat.
+    const bool free = row.attempts == 0;
+    if (!mayRetry(row, now) || (!free && !budgetOf(row.pool).spend(now))) {
+        giveUp(row, cause, now, commands);
+        return;
+    }
+    place(row, now, commands);
+}
+
+void RelaySystem::endAttempt(RelayRow &row)
+{
+    placement_.load(row.upstream).end(row.tokens());
+    attempts_.erase(row.attempt);
+    row.attempt = AttemptId();
+}
+
+// Ends.
+
+void RelaySystem::giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands)
+{
+    const RequestId request = row.request.request;
+    if (row.firstByte.has_value()) {
+        finish(row, Outcome::Failed, code, now, commands);
+        commands.emplace_back(RelayBreak { request });
+        return;
+    }
+    if (row.mayHaveRun) {
+        const Outcome outcome = row.repeatable() ? Outcome::Failed : Outcome::Unknown;
+        finish(row, outcome, code, now, commands);
+        // A status of 503 would say that the request has not run.
+        const bool late = now >= row.deadline;
+        const ResultCode final = late ? ResultCode::UpstreamTimeout : ResultCode::UpstreamLost;
+        commands.emplace_back(
+            RelayRefusal { request, { final, "the upstream gave no answer", std::nullopt }, outcome });
+        return;
+    }
+    const std::size_t ahead = queues_[row.pool].ahead(row.tier);
+    const Duration retryAfter = returnTime_.after(ahead, row.deadline - now, now);
+    const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
+    finish(row, Outcome::NotRun, code, now, commands);
+    commands.emplace_back(RelayRefusal { request, { final, "no upstream has room", retryAfter }, Outcome::NotRun });
+}
+
+void RelaySystem::finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands)
+{
+    Decision decision = decide("finish", row);
+    addField(decision, "outcome", std::string(outcomeName(outcome)));
+    addField(decision, "code", std::string(resultCodeName(code)));
+    addField(decision, "upstream", row.upstream.text());
+    addField(decision, "attempts", std::to_string(row.attempts));
+    addField(decision, "first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
+    addField(decision, "total_ms", milliseconds(now - row.arrivedAt));
+    commands.emplace_back(std::move(decision));
+    measured_.push_back({ row.tier, outcome, code, row.firstByte, now - row.arrivedAt, row.attempts });
+    const RequestId request = row.request.request;
+    rows_.erase(request);
+}
+
+// Time.
+
+void RelaySystem::tick(TimePoint now, RelayCommands &commands)
+{
+    std::vector<RequestId> due;
+    for (const auto &[request, row] : rows_) {
+        const bool expired = now >= row.deadline;
+        const bool waitedOut = row.phase == RelayPhase::Waiting && now >= row.waitUntil;
+        const bool running = row.phase != RelayPhase::Waiting && row.repeatable();
+        if (expired || waitedOut || running) {
+            due.push_back(request);
+        }
+    }
+    for (const RequestId &request : due) {
+        RelayRow *row = rows_.edit(request);
+        if (row == nullptr) {
+            continue;
+        }
+        if (row->phase != RelayPhase::Waiting) {
+            checkRunning(*row, now, commands);
+            continue;
+        }
+        queues_[row->pool].erase(row->tier, row->team, request);
+        giveUp(*row, row->mayHaveRun ? row->cause : ResultCode::Shed, now, commands);
+    }
+    for (auto &[pool, queue] : queues_) {
+        serveQueue(pool, now, commands);
+    }
+}
+
+void RelaySystem::checkRunning(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    if (now >= row.deadline) {
+        commands.emplace_back(RelayCancel { row.attempt });
+        row.mayHaveRun = true;
+        endAttempt(row);
+        giveUp(row, ResultCode::UpstreamTimeout, now, commands);
+        return;
+    }
+    const bool answering = row.phase == RelayPhase::Answering;
+    const Duration silence = answering ? row.route->gapTarget.value_or(row.route->target) * SilenceGaps
+                                       : std::max(row.route->target * SilenceTargets, ShortestSilence);
+    if (now - row.progressAt < silence || !mayRetry(row, now)) {
+        return;
+    }
+    commands.emplace_back(RelayCancel { row.attempt });
+    placement_.load(row.upstream).noteFailed(now);
+    row.tried.insert(row.upstream);
+    row.mayHaveRun = true;
+    endAttempt(row);
+    retry(row, ResultCode::UpstreamTimeout, now, commands);
+}
+
+RelayRow *RelaySystem::rowOf(const AttemptId &attempt)
+{
+    const auto found = attempts_.find(attempt);
+    return found == attempts_.end() ? nullptr : rows_.edit(found->second);
+}
+
+RelayBudget &RelaySystem::budgetOf(const PoolName &pool)
+{
+    return budgets_.try_emplace(pool, settings_.repeats).first->second;
+}
+
+void RelaySystem::setLimits(const RepeatAllowance &repeats, const KnowledgeLimits &knowledge)
+{
+    settings_.repeats = repeats;
+    settings_.knowledge = knowledge;
+    for (auto &[pool, budget] : budgets_) {
+        budget.setAllowance(repeats);
+    }
+}
+
+std::vector<RelayMeasured> RelaySystem::takeMeasured()
+{
+    return std::exchange(measured_, {});
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/relay_system.h
@@ -0,0 +1,101 @@
+/** Decides what becomes of each relayed request. */
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "servers/relay/relay_admission.h"
+#include "servers/relay/relay_budget.h"
+#include "servers/relay/relay_placement.h"
+#include "servers/relay/relay_queue.h"
+#include "servers/relay/return_time.h"
+
+namespace GeraniumLever {
+
+struct RelaySystemSettings
+{
+    DataCenterName dataCenter;
+    RepeatAllowance repeats;
+    KnowledgeLimits knowledge;
+    /** Origin of the attempts' identifiers; distinguishes the node's incarnation. */
+    std::uint64_t origin = 0;
+    /** Seed of all random choices. */
+    std::uint64_t seed = 1;
+};
+
+/** Requests in a table, and what is done with them at each event and tick. Reads no clock and does no I/O. */
+class RelaySystem
+{
+public:
+    explicit RelaySystem(RelaySystemSettings settings);
+
+    /** Takes a configuration that was the newest one at some moment not before asOf. */
+    void learnConfiguration(const SiteConfigurationPtr &configuration, TimePoint asOf, RelayCommands &commands);
+
+    /** Takes the list of registered upstreams, which was true at some moment not before asOf. */
+    void learnUpstreams(const std::vector<UpstreamEntry> &list, TimePoint asOf, TimePoint now, RelayCommands &commands);
+
+    void registryFailed() { directory_.readFailed(); }
+
+    void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
+    void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
+    void headArrived(const RelayHead &head, TimePoint now, RelayCommands &commands);
+    void progressed(const RelayProgress &progress, TimePoint now);
+    void ended(const RelayEnd &end, TimePoint now, RelayCommands &commands);
+    void failed(const RelayFailure &failure, TimePoint now, RelayCommands &commands);
+
+    /** To be called every few hundredths of a second while there are requests. */
+    void tick(TimePoint now, RelayCommands &commands);
+
+    /** True until the request has its final answer. */
+    bool knows(const RequestId &request) const { return rows_.contains(request); }
+
+    /** Takes changed limits. */
+    void setLimits(const RepeatAllowance &repeats, const KnowledgeLimits &knowledge);
+
+    /** Requests without a final answer. */
+    std::size_t inFlight() const { return rows_.size(); }
+
+    /** True if the node can take requests: it knows a configuration and a list of upstreams. */
+    bool ready() const { return configuration_.table() != nullptr && directory_.known(); }
+
+    const ConfigurationKeeper &configuration() const { return configuration_; }
+    const UpstreamDirectory &directory() const { return directory_; }
+
+    /** Figures of the requests that have ended since the last call. */
+    std::vector<RelayMeasured> takeMeasured();
+
+private:
+    RelayRow *rowOf(const AttemptId &attempt);
+    /** Sends the request to an upstream, or lets it wait, or gives it up. */
+    void place(RelayRow &row, TimePoint now, RelayCommands &commands);
+    bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
+    void dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands);
+    void wait(RelayRow &row, TimePoint now, RelayCommands &commands);
+    void serveQueue(const PoolName &pool, TimePoint now, RelayCommands &commands);
+    /** Frees the attempt's place; the row has no attempt afterwards. */
+    void endAttempt(RelayRow &row);
+    /** Tries another upstream if the request may run again and the budget allows it; else gives the request up. */
+    void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
+    bool mayRetry(const RelayRow &row, TimePoint now);
+    void giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands);
+    void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
+    void checkRunning(RelayRow &row, TimePoint now, RelayCommands &commands);
+    RelayBudget &budgetOf(const PoolName &pool);
+
+    RelaySystemSettings settings_;
+    ConfigurationKeeper configuration_;
+    UpstreamDirectory directory_;
+    RelayPlacement placement_;
+    ReturnTime returnTime_;
+    RandomSource random_;
+    Table<RequestId, RelayRow> rows_;
+    std::map<AttemptId, RequestId> attempts_;
+    std::map<PoolName, RelayQueue> queues_;
+    std::map<PoolName, RelayBudget> budgets_;
+    std::vector<RelayMeasured> measured_;
+    std::uint64_t lastAttempt_ = 0;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/return_time.cpp
@@ -0,0 +1,41 @@
+#include "servers/relay/return_time.h"
+
+#include <algorithm>
+
+namespace GeraniumLever {
+
+namespace {
+
+constexpr Duration Shortest = std::chrono::milliseconds(100);
+constexpr Duration Longest = std::chrono::seconds(5);
+/** A caller that is told to wait for more than a third of its time will hardly be served then. */
+constexpr double LargestShareOfTimeLeft = 0.3;
+/** The times are spread over this factor around the expected one. */
+constexpr double Spread = 0.4;
+constexpr int IntervalWeight = 8;
+constexpr Duration LongestInterval = std::chrono::milliseconds(500);
+
+} // namespace
+
+void ReturnTime::noteServed(TimePoint now)
+{
+    if (lastServed_ != TimePoint()) {
+        const Duration interval = std::min(now - lastServed_, LongestInterval);
+        interval_ += (interval - interval_) / IntervalWeight;
+    }
+    lastServed_ = now;
+}
+
+Duration ReturnTime::after(std::size_t ahead, Duration timeLeft, TimePoint now)
+{
+    const Duration sinceServed =
+        lastServed_ == TimePoint() ? Duration(0) : std::min(now - lastServed_, LongestInterval);
+    const Duration expected = std::max(interval_, sinceServed) * static_cast<Duration::rep>(ahead + 1);
+    const Duration bounded = std::clamp(expected + Shortest * 2, Shortest, Longest);
+    const Duration spread = random_.jittered(bounded, Spread);
+    const Duration useful =
+        Duration(static_cast<Duration::rep>(static_cast<double>(timeLeft.count()) * LargestShareOfTimeLeft));
+    return std::max(Shortest, std::min(spread, useful));
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/upstream_load.cpp
@@ -0,0 +1,68 @@
+#include "servers/relay/upstream_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Half of what other nodes had there has probably ended after this time: a typical answer takes one to two seconds. */
+constexpr double OthersHalfLifeSeconds = 2.0;
+/** Weight of the newest attempt in the share of failures. */
+constexpr double FailureWeight = 0.15;
+/** First exclusion after a failure; doubles with each further one in a row. */
+constexpr Duration FirstSuspicion = std::chrono::milliseconds(400);
+constexpr Duration LongestSuspicion = std::chrono::seconds(4);
+/** How long an upstream that had no room is passed over if others have room. */
+constexpr Duration FullPause = std::chrono::milliseconds(150);
+
+} // namespace
+
+void UpstreamLoad::begin(std::uint32_t tokens)
+{
+    ++own_;
+    ownTokens_ += tokens;
+}
+
+void UpstreamLoad::end(std::uint32_t tokens)
+{
+    own_ -= std::min<std::uint32_t>(own_, 1);
+    ownTokens_ -= std::min<std::uint64_t>(ownTokens_, tokens);
+}
+
+void UpstreamLoad::state(const StatedLoad &load, TimePoint now)
+{
+    const double stated = static_cast<double>(load.running) + static_cast<double>(load.waiting);
+    others_ = std::max(0.0, stated - static_cast<double>(own_));
+    statedAt_ = now;
+}
+
+void UpstreamLoad::noteAnswered(TimePoint)
+{
+    failureShare_ *= 1.0 - FailureWeight;
+    failuresInRow_ = 0;
+    suspectUntil_ = TimePoint();
+}
+
+void UpstreamLoad::noteFailed(TimePoint now)
+{
+    failureShare_ = failureShare_ * (1.0 - FailureWeight) + FailureWeight;
+    const Duration pause = FirstSuspicion * (1 << std::min<std::uint32_t>(failuresInRow_, 4));
+    ++failuresInRow_;
+    suspectUntil_ = now + std::min(pause, LongestSuspicion);
+}
+
+void UpstreamLoad::noteFull(TimePoint now)
+{
+    fullUntil_ = now + FullPause;
+}
+
+double UpstreamLoad::requests(TimePoint now) const
+{
+    const double age = std::chrono::duration<double>(now - statedAt_).count();
+    const double others = statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
+    return others + static_cast<double>(own_);
+}
+
+} // namespace GeraniumLever
--- a/servers/yaml/field_reader.cpp
+++ b/servers/yaml/field_reader.cpp
@@ -1,6 +1,7 @@
 #include "servers/yaml/field_reader.h"
 
 #include <charconv>
+#include <cmath>
 #include <limits>
 
 namespace GeraniumLever {
@@ -102,6 +103,20 @@
     readNumber(key, std::numeric_limits<std::uint64_t>::max(), target);
 }
 
+void FieldReader::read(const std::string &key, double &target)
+{
+    const YAML::Node node = child(key);
+    if (!node.IsDefined()) {
+        return;
+    }
+    double value = 0.0;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || !std::isfinite(value) || value < 0.0) {
+        fault(key, "must be a number that is not below 0");
+        return;
+    }
+    target = value;
+}
+
 void FieldReader::read(const std::string &key, Duration &target)
 {
     constexpr std::uint64_t LongestMilliseconds = 1000ULL * 60 * 60 * 24 * 365;
--- a/servers/yaml/field_reader.h
+++ b/servers/yaml/field_reader.h
@@ -45,6 +45,8 @@
     void read(const std::string &key, bool &target);
     void read(const std::string &key, std::uint32_t &target);
     void read(const std::string &key, std::uint64_t &target);
+    /** A number that is not below zero. */
+    void read(const std::string &key, double &target);
     /** Whole milliseconds. */
     void read(const std::string &key, Duration &target);
     void read(const std::string &key, std::vector<std::string> &target);
--- a/tests/platform/http/caller_server_test.cpp
+++ b/tests/drivers/http/caller_server_test.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "platform/http/http.h"
-#include "tests/platform/http/event_log.h"
-#include "tests/platform/http/event_loop.h"
-#include "tests/platform/http/raw_listener.h"
+#include "drivers/http/http.h"
+#include "tests/drivers/http/event_log.h"
+#include "tests/drivers/http/event_loop.h"
+#include "tests/drivers/http/raw_listener.h"
 
 namespace GeraniumLever {
 namespace {
@@ -491,7 +491,7 @@
 TEST_F(ShortTimeoutsTest, ASlowRequestIsAnsweredWithItsError)
 {
     const std::shared_ptr<RawConnection> caller = connect();
-    caller->send("POST /v1/x HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    caller->send("POST /v1/x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
     ASSERT_TRUE(awaitEnd(caller));
     EXPECT_EQ(caller->received().find("HTTP/1.1 408"), 0U);
     EXPECT_TRUE(caller->has("request_timeout"));
--- a/tests/platform/http/event_stream_parser_test.cpp
+++ b/tests/drivers/http/event_stream_parser_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/http/event_stream_parser.h"
+#include "drivers/http/event_stream_parser.h"
 
 #include <vector>
 
--- a/tests/platform/http/operator_server_test.cpp
+++ b/tests/drivers/http/operator_server_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
-#include "platform/http/http.h"
-#include "tests/platform/http/event_loop.h"
-#include "tests/platform/http/raw_listener.h"
+#include "drivers/http/http.h"
+#include "tests/drivers/http/event_loop.h"
+#include "tests/drivers/http/raw_listener.h"
 
 namespace GeraniumLever {
 namespace {
--- a/tests/platform/http/raw_connection.cpp
+++ b/tests/drivers/http/raw_connection.cpp
@@ -1,4 +1,4 @@
-#include "tests/platform/http/raw_connection.h"
+#include "tests/drivers/http/raw_connection.h"
 
 #include <utility>
 
--- a/tests/platform/http/raw_listener.cpp
+++ b/tests/drivers/http/raw_listener.cpp
@@ -1,4 +1,4 @@
-#include "tests/platform/http/raw_listener.h"
+#include "tests/drivers/http/raw_listener.h"
 
 #include <utility>
 
--- a/tests/platform/http/raw_listener.h
+++ b/tests/drivers/http/raw_listener.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/platform/http/raw_connection.h"
+#include "tests/drivers/http/raw_connection.h"
 
 namespace GeraniumLever {
 
--- a/tests/platform/http/upstream_client_test.cpp
+++ b/tests/drivers/http/upstream_client_test.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "platform/http/http.h"
-#include "tests/platform/http/event_log.h"
-#include "tests/platform/http/event_loop.h"
-#include "tests/platform/http/raw_listener.h"
+#include "drivers/http/http.h"
+#include "tests/drivers/http/event_log.h"
+#include "tests/drivers/http/event_loop.h"
+#include "tests/drivers/http/raw_listener.h"
 
 namespace GeraniumLever {
 namespace {
--- a/tests/platform/mesh/mesh_test.cpp
+++ b/tests/drivers/mesh/mesh_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/mesh/mesh.h"
+#include "drivers/mesh/mesh.h"
 
 #include <functional>
 #include <map>
@@ -8,7 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
-#include "tests/platform/mesh/message_samples.h"
+#include "tests/drivers/mesh/message_samples.h"
 
 namespace GeraniumLever {
 namespace {
--- a/tests/platform/mesh/message_samples.cpp
+++ b/tests/drivers/mesh/message_samples.cpp
@@ -1,4 +1,4 @@
-#include "tests/platform/mesh/message_samples.h"
+#include "tests/drivers/mesh/message_samples.h"
 
 namespace GeraniumLever {
 
--- a/tests/platform/metrics/metrics_registry_test.cpp
+++ b/tests/drivers/metrics/metrics_registry_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/metrics/metrics.h"
+#include "drivers/metrics/metrics.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/platform/settings/settings_test.cpp
+++ b/tests/drivers/settings/settings_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/settings/settings.h"
+#include "drivers/settings/settings.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/platform/store/store_client_test.cpp
+++ b/tests/drivers/store/store_client_test.cpp
@@ -1,8 +1,8 @@
 #include <gtest/gtest.h>
 
 #include "development/standins/standins.h"
-#include "platform/http/http.h"
-#include "platform/store/store.h"
+#include "drivers/http/http.h"
+#include "drivers/store/store.h"
 
 namespace GeraniumLever {
 namespace {
--- a/tests/platform/store/table_codec_test.cpp
+++ b/tests/drivers/store/table_codec_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/store/table_codec.h"
+#include "drivers/store/table_codec.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/main/node/decision_log_test.cpp
+++ b/tests/main/node/decision_log_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "drivers/log/log.h"
+
 namespace GeraniumLever {
 namespace {
 
--- /dev/null
+++ b/tests/servers/relay/relay_fixture.h
@@ -0,0 +1,50 @@
+/** A relay system with a configuration and upstreams, on a stepped clock. */
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include "servers/relay/relay.h"
+
+namespace GeraniumLever {
+
+class RelayFixture : public testing::Test
+{
+protected:
+    RelayFixture();
+
+    /** Routes /stream/ (streamed, once), /live/ (streamed, resumable), /read/ (repeatable), /once/ (at most once). */
+    SiteConfiguration configuration_;
+    std::vector<UpstreamEntry> upstreams_;
+
+    /** Hands the configuration and the upstreams to the system, as of now. */
+    void learn();
+
+    /** Sends a request; returns its identifier. */
+    RequestId arrive(const std::string &path, const std::string &key = "key-one", PromptFacts prompt = {});
+
+    void advance(Duration step);
+    void tick();
+
+    /** Events for the newest attempt of a request. */
+    void answer(const RequestId &request, unsigned status = 200);
+    void answerNotRun(const RequestId &request);
+    void end(const RequestId &request);
+    void fail(const RequestId &request, RelayFailure::Kind kind = RelayFailure::Kind::Broken);
+    void leave(const RequestId &request);
+
+    /** All commands of one type for a request. */
+    std::vector<RelayDispatch> dispatches(const RequestId &request) const;
+    std::vector<RelayRefusal> refusals(const RequestId &request) const;
+    bool broken(const RequestId &request) const;
+    bool accepted(const RequestId &request) const;
+    bool cancelled(const AttemptId &attempt) const;
+
+    SteppedClock clock_;
+    RelaySystem system_;
+    RelayCommands commands_;
+    std::uint64_t lastRequest_ = 0;
+};
+
+UpstreamEntry upstreamOf(const std::string &name, const std::string &pool, std::uint32_t seats);
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/servers/relay/relay_queue_test.cpp
@@ -0,0 +1,69 @@
+#include "servers/relay/relay_queue.h"
+
+#include <gtest/gtest.h>
+
+namespace GeraniumLever {
+namespace {
+
+RequestId idOf(std::uint64_t number)
+{
+    return RequestId(1, number);
+}
+
+/** Serves the whole queue, each request at the same cost; returns the requests' numbers in order. */
+std::vector<std::uint64_t> serveAll(RelayQueue &queue,
+                                    const std::map<RequestId, std::pair<std::uint32_t, TeamName>> &of)
+{
+    std::vector<std::uint64_t> order;
+    while (const std::optional<RequestId> next = queue.front()) {
+        const auto &[tier, team] = of.at(*next);
+        queue.charge(tier, team, 1.0);
+        queue.erase(tier, team, *next);
+        order.push_back(next->sequence());
+    }
+    return order;
+}
+
+TEST(RelayQueueTest, HigherTiersGoFirst)
+{
+    RelayQueue queue;
+    queue.push(2, TeamName("a"), idOf(1));
+    queue.push(0, TeamName("a"), idOf(2));
+    queue.push(1, TeamName("a"), idOf(3));
+    EXPECT_EQ(queue.front(), idOf(2));
+    EXPECT_EQ(queue.ahead(0), 1U);
+    EXPECT_EQ(queue.ahead(2), 3U);
+}
+
+TEST(RelayQueueTest, ATeamThatFloodsGetsItsShareAndNoMore)
+{
+    RelayQueue queue;
+    std::map<RequestId, std::pair<std::uint32_t, TeamName>> of;
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        queue.push(1, TeamName("flood"), idOf(number));
+        of[idOf(number)] = { 1, TeamName("flood") };
+    }
+    for (std::uint64_t number = 101; number <= 103; ++number) {
+        queue.push(1, TeamName("small"), idOf(number));
+        of[idOf(number)] = { 1, TeamName("small") };
+    }
+    const std::vector<std::uint64_t> order = serveAll(queue, of);
+    const auto last = std::find(order.begin(), order.end(), 103U);
+    EXPECT_LE(last - order.begin(), 6);
+}
+
+TEST(RelayQueueTest, ErasedRequestsAreNotServed)
+{
+    RelayQueue queue;
+    queue.push(1, TeamName("a"), idOf(1));
+    queue.push(1, TeamName("a"), idOf(2));
+    EXPECT_TRUE(queue.erase(1, TeamName("a"), idOf(1)));
+    EXPECT_FALSE(queue.erase(1, TeamName("a"), idOf(1)));
+    EXPECT_EQ(queue.front(), idOf(2));
+    EXPECT_TRUE(queue.erase(1, TeamName("a"), idOf(2)));
+    EXPECT_TRUE(queue.empty());
+    EXPECT_EQ(queue.front(), std::nullopt);
+}
+
+} // namespace
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -0,0 +1,109 @@
+#include "servers/routing/routing.h"
+
+#include <gtest/gtest.h>
+
+namespace GeraniumLever {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+UpstreamEntry entryOf(const std::string &name, bool leaving = false)
+{
+    UpstreamEntry entry;
+    entry.name = UpstreamName(name);
+    entry.pool = PoolName("engines");
+    entry.address = "127.0.0.1:" + std::to_string(1000 + name.back());
+    entry.seats = 8;
+    entry.leaving = leaving;
+    return entry;
+}
+
+class UpstreamDirectoryTest : public testing::Test
+{
+protected:
+    DirectoryChanges learn(const std::vector<UpstreamEntry> &list)
+    {
+        return directory_.learn(list, clock_.now(), clock_.now());
+    }
+
+    bool has(const std::string &name) const { return directory_.entries().contains(UpstreamName(name)); }
+
+    SteppedClock clock_;
+    UpstreamDirectory directory_;
+};
+
+TEST_F(UpstreamDirectoryTest, AMissingEntryIsRemovedAtOnce)
+{
+    learn({ entryOf("a"), entryOf("b") });
+    clock_.advance(seconds(1));
+    const DirectoryChanges changes = learn({ entryOf("a") });
+    EXPECT_EQ(changes.removed, std::vector<UpstreamName> { UpstreamName("b") });
+    EXPECT_FALSE(has("b"));
+}
+
+TEST_F(UpstreamDirectoryTest, LeavingIsToldOnce)
+{
+    learn({ entryOf("a") });
+    EXPECT_EQ(learn({ entryOf("a", true) }).leaving.size(), 1U);
+    EXPECT_TRUE(learn({ entryOf("a", true) }).empty());
+    EXPECT_TRUE(directory_.entries().find(UpstreamName("a"))->leaving);
+}
+
+TEST_F(UpstreamDirectoryTest, AnEntryThatLapsedWithTheRegistryHasTimeToComeBack)
+{
+    learn({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    learn({ entryOf("a") });
+    EXPECT_TRUE(has("b"));
+    clock_.advance(seconds(2));
+    learn({ entryOf("a") });
+    EXPECT_TRUE(has("b"));
+    clock_.advance(LapseGrace);
+    learn({ entryOf("a") });
+    EXPECT_FALSE(has("b"));
+}
+
+TEST_F(UpstreamDirectoryTest, AnEntryThatWasListedAfterTheReturnHasNotLapsed)
+{
+    learn({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    learn({ entryOf("a"), entryOf("b") });
+    clock_.advance(milliseconds(900));
+    learn({ entryOf("a") });
+    EXPECT_FALSE(has("b"));
+}
+
+TEST_F(UpstreamDirectoryTest, AnAddressThatAnotherEntryHasTakenEndsTheLapsedOne)
+{
+    learn({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    UpstreamEntry successor = entryOf("c");
+    successor.address = entryOf("b").address;
+    learn({ entryOf("a"), successor });
+    EXPECT_FALSE(has("b"));
+    EXPECT_TRUE(has("c"));
+}
+
+TEST_F(UpstreamDirectoryTest, AnOlderListChangesNothing)
+{
+    const TimePoint early = clock_.now();
+    clock_.advance(seconds(1));
+    learn({ entryOf("a", true) });
+    EXPECT_TRUE(directory_.learn({ entryOf("a") }, early, clock_.now()).empty());
+    EXPECT_TRUE(directory_.entries().find(UpstreamName("a"))->leaving);
+}
+
+TEST_F(UpstreamDirectoryTest, ANewStartUnderTheSameNameIsTold)
+{
+    UpstreamEntry entry = entryOf("a");
+    entry.incarnation = 1;
+    learn({ entry });
+    entry.incarnation = 2;
+    EXPECT_EQ(learn({ entry }).restarted.size(), 1U);
+}
+
+} // namespace
+} // namespace GeraniumLever
--- a/tools/check_docs.py
+++ b/tools/check_docs.py
@@ -19,7 +19,7 @@
 def missing_files():
     faults = []
     for page in [pathlib.Path("README.md"), *sorted(pathlib.Path("docs").glob("**/*.md"))]:
-        for name in re.findall(r"(?<![\w/.-])(?:docs|tools|core|servers|platform|main|development|tests)/[\w/.-]+\w", page.read_text()):
+        for name in re.findall(r"(?<![\w/.-])(?:docs|tools|core|servers|drivers|platform|main|development|tests)/[\w/.-]+\w", page.read_text()):
             if not pathlib.Path(name).exists():
                 faults.append(f"{page}: {name} does not exist")
     return faults
--- a/tools/check_layers.py
+++ b/tools/check_layers.py
@@ -5,13 +5,13 @@
 import subprocess
 import sys
 
-LAYERS = {"core": 0, "servers": 1, "platform": 2, "main": 3, "development": 4, "tests": 5}
+LAYERS = {"core": 0, "servers": 1, "drivers": 2, "platform": 3, "main": 4, "development": 5, "tests": 6}
 INCLUDE = re.compile(r'^#include "([^"]+)"', re.MULTILINE)
 
 
 def package_of(path):
     parts = path.split("/")
-    return parts[0] if parts[0] == "core" else "/".join(parts[:2])
+    return parts[0] if parts[0] in ("core", "platform") else "/".join(parts[:2])
 
 
 def main():
