Divide a pool's engines between requests that bear long pauses and those that do not

EngineSharing gives requests whose pause target is a multiple of the shortest one engines of their own, in proportion to prompt tokens a second / bearable pause. An engine's memory now bounds placing (80% of its tokens).

Ruled out: a fixed division (the shares of the kinds change with each rush); a message between nodes (each sees similar requests and orders the engines alike).

--- /dev/null
+++ b/servers/relay/engine_sharing.cpp
@@ -0,0 +1,78 @@
+#include "servers/relay/engine_sharing.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** A route is loose if its target for pauses is so many times the shortest of its pool. */
+constexpr int LooseFactor = 2;
+/** Demand forgets half of itself in this time: long enough to even out single requests of one node. */
+constexpr double HalfLifeSeconds = 5.0;
+/** Engines by which the demand must differ from the last division before it changes. */
+constexpr double Hysteresis = 0.7;
+/** Below this weight there is no such demand: a single small request in the last half-life. */
+constexpr double SmallestDemand = 0.05;
+
+} // namespace
+
+double EngineSharing::Demand::at(TimePoint now) const
+{
+    const double age = std::chrono::duration<double>(now - updatedAt).count();
+    return weight * std::exp2(-age / HalfLifeSeconds);
+}
+
+void EngineSharing::noteRequest(Duration pauseTarget, std::uint32_t promptTokens, TimePoint now)
+{
+    Demand &demand = demands_[pauseTarget];
+    const double pause = std::max(1.0, static_cast<double>(toMilliseconds(pauseTarget)));
+    demand.weight = demand.at(now) + static_cast<double>(promptTokens) / pause;
+    demand.updatedAt = now;
+}
+
+std::vector<UpstreamName> EngineSharing::enginesFor(const PoolName &pool,
+                                                    Duration pauseTarget,
+                                                    std::vector<UpstreamName> engines,
+                                                    TimePoint now)
+{
+    std::erase_if(demands_, [now](const auto &entry) { return entry.second.at(now) < SmallestDemand; });
+    if (engines.size() < 2 || demands_.empty()) {
+        return engines;
+    }
+    const Duration looseFrom = demands_.begin()->first * LooseFactor;
+    double tight = 0.0;
+    double loose = 0.0;
+    for (const auto &[target, demand] : demands_) {
+        (target >= looseFrom ? loose : tight) += demand.at(now);
+    }
+    if (loose < SmallestDemand) {
+        return engines;
+    }
+    const std::uint64_t seed = XXH64(pool.text().data(), pool.text().size(), 0);
+    std::sort(engines.begin(), engines.end(), [seed](const UpstreamName &left, const UpstreamName &right) {
+        const std::uint64_t leftRank = XXH64(left.text().data(), left.text().size(), seed);
+        const std::uint64_t rightRank = XXH64(right.text().data(), right.text().size(), seed);
+        return leftRank < rightRank;
+    });
+    const double wanted = static_cast<double>(engines.size()) * loose / (loose + tight);
+    if (std::abs(wanted - static_cast<double>(looseEngines_)) > Hysteresis) {
+        looseEngines_ = static_cast<std::size_t>(std::lround(wanted));
+    }
+    const std::size_t count = std::clamp<std::size_t>(looseEngines_, 1, engines.size() - 1);
+    const auto border = engines.begin() + static_cast<std::ptrdiff_t>(count);
+    if (pauseTarget >= looseFrom) {
+        return std::vector<UpstreamName>(engines.begin(), border);
+    }
+    return std::vector<UpstreamName>(border, engines.end());
+}
+
+Duration pauseTargetOf(const Route &route)
+{
+    return std::max<Duration>(route.gapTarget.value_or(route.target), std::chrono::milliseconds(1));
+}
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -16,6 +16,8 @@
 constexpr double AffinitySlack = 2.0;
 /** Requests sent beyond the seats, since what is believed of a load is older than the load. */
 constexpr double OverSeats = 1.2;
+/** Part of an engine's memory that is filled; the rest is for answers that grow and for what is believed too late. */
+constexpr double UsableTokenShare = 0.8;
 /** Requests by which an upstream in another data centre must be better. */
 constexpr double RemotePenalty = 0.5;
 /** Requests that count against an upstream that failed every attempt lately. */
@@ -86,6 +88,11 @@
         if (known != nullptr && known->own() >= connections) {
             continue;
         }
+        const double tokens = known == nullptr ? 0.0 : known->tokens(now);
+        const double limit = static_cast<double>(question.engineTokens) * UsableTokenShare;
+        if (limit > 0.0 && tokens > 0.0 && tokens + static_cast<double>(question.prompt.promptTokens) > limit) {
+            continue;
+        }
         if (candidate.load >= static_cast<double>(entry.seats) * OverSeats) {
             continue;
         }
@@ -100,12 +107,15 @@
 
 std::optional<Placement> RelayPlacement::choose(const UpstreamDirectory &directory,
                                                 const PlacementQuestion &question,
-                                                TimePoint now) const
+                                                TimePoint now)
 {
-    const std::vector<Candidate> open = candidates(directory, question, now);
+    std::vector<Candidate> open = candidates(directory, question, now);
     if (open.empty()) {
         return std::nullopt;
     }
+    if (question.engine) {
+        keepMeant(open, directory, question, now);
+    }
     double sum = 0.0;
     for (const Candidate &candidate : open) {
         sum += candidate.cost;
@@ -131,6 +141,35 @@
     return Placement { best->entry->name, best->entry->address, best->load, byPrefix };
 }
 
+void RelayPlacement::keepMeant(std::vector<Candidate> &open,
+                               const UpstreamDirectory &directory,
+                               const PlacementQuestion &question,
+                               TimePoint now)
+{
+    std::vector<UpstreamName> engines;
+    for (const auto &[name, entry] : directory.entries()) {
+        if (!entry.leaving && entry.pool == question.pool) {
+            engines.push_back(name);
+        }
+    }
+    const std::vector<UpstreamName> meant =
+        sharing_[question.pool].enginesFor(question.pool, question.pauseTarget, std::move(engines), now);
+    const auto isMeant = [&meant](const Candidate &candidate) {
+        return std::find(meant.begin(), meant.end(), candidate.entry->name) != meant.end();
+    };
+    if (std::any_of(open.begin(), open.end(), isMeant)) {
+        std::erase_if(open, [&isMeant](const Candidate &candidate) { return !isMeant(candidate); });
+    }
+}
+
+void RelayPlacement::noteRequest(const PlacementQuestion &question, TimePoint now)
+{
+    if (!question.engine) {
+        return;
+    }
+    sharing_[question.pool].noteRequest(question.pauseTarget, question.prompt.promptTokens, now);
+}
+
 std::optional<double> RelayPlacement::fillOf(const UpstreamDirectory &directory,
                                              const PoolName &pool,
                                              TimePoint now) const
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include "servers/relay/engine_sharing.h"
 #include "servers/relay/upstream_load.h"
 #include "servers/routing/routing.h"
 
@@ -17,6 +18,10 @@
     bool sharesPrompts = false;
     /** Connections that one upstream accepts from all nodes together; 0 if no limit is stated. */
     std::uint32_t maxConnections = 0;
+    /** Tokens that one engine's memory holds; 0 if not stated. */
+    std::uint64_t engineTokens = 0;
+    /** Longest pause in the answer that the request should meet. */
+    Duration pauseTarget { 0 };
     PromptFacts prompt;
     /** Upstreams that must not be chosen, since an attempt there has failed. */
     std::set<UpstreamName> excluded;
@@ -46,7 +51,10 @@
     /** The best upstream with room; nothing if there is none. */
     std::optional<Placement> choose(const UpstreamDirectory &directory,
                                     const PlacementQuestion &question,
-                                    TimePoint now) const;
+                                    TimePoint now);
+
+    /** Notes the demand of a new request for an engine. */
+    void noteRequest(const PlacementQuestion &question, TimePoint now);
 
     /** Share of the pool's seats believed to be taken, over upstreams that take work; absent if there is none. */
     std::optional<double> fillOf(const UpstreamDirectory &directory, const PoolName &pool, TimePoint now) const;
@@ -62,7 +70,14 @@
                                       TimePoint now) const;
     const UpstreamLoad *find(const UpstreamName &name) const;
 
+    /** Leaves the engines that are meant for such requests, unless none of them is open. */
+    void keepMeant(std::vector<Candidate> &open,
+                   const UpstreamDirectory &directory,
+                   const PlacementQuestion &question,
+                   TimePoint now);
+
     DataCenterName dataCenter_;
+    std::map<PoolName, EngineSharing> sharing_;
     std::map<UpstreamName, UpstreamLoad> loads_;
 };
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -42,6 +42,22 @@
     return decision;
 }
 
+PlacementQuestion questionOf(const RelayRow &row)
+{
+    PlacementQuestion question;
+    question.pool = row.pool;
+    if (row.traits != nullptr) {
+        question.engine = row.traits->engines;
+        question.maxConnections = row.traits->maxConnections;
+        question.engineTokens = row.traits->engineTokens;
+    }
+    question.sharesPrompts = row.route->sharesPrompts;
+    question.pauseTarget = pauseTargetOf(*row.route);
+    question.prompt = row.request.prompt;
+    question.excluded = row.tried;
+    return question;
+}
+
 std::string milliseconds(Duration duration)
 {
     return std::to_string(toMilliseconds(duration));
@@ -123,6 +139,7 @@
     }
     RelayRow &row = rows_.put(request.request, std::move(std::get<RelayRow>(admitted)));
     budgetOf(row.pool).noteRequest(now);
+    placement_.noteRequest(questionOf(row), now);
     place(row, now, commands);
 }
 
@@ -160,13 +177,7 @@
 
 bool RelaySystem::tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
-    PlacementQuestion question;
-    question.pool = row.pool;
-    question.engine = row.traits != nullptr && row.traits->engines;
-    question.sharesPrompts = row.route->sharesPrompts;
-    question.maxConnections = row.traits == nullptr ? 0 : row.traits->maxConnections;
-    question.prompt = row.request.prompt;
-    question.excluded = row.tried;
+    const PlacementQuestion question = questionOf(row);
     const std::optional<Placement> placement = placement_.choose(directory_, question, now);
     if (!placement.has_value()) {
         return false;
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -11,6 +11,8 @@
 constexpr double OthersHalfLifeSeconds = 2.0;
 /** Weight of the newest attempt in the share of failures. */
 constexpr double FailureWeight = 0.15;
+/** Weight of the newest request in the mean size. */
+constexpr double TokenWeight = 0.1;
 /** First exclusion after a failure; doubles with each further one in a row. */
 constexpr Duration FirstSuspicion = std::chrono::milliseconds(400);
 constexpr Duration LongestSuspicion = std::chrono::seconds(4);
@@ -23,6 +25,7 @@
 {
     ++own_;
     ownTokens_ += tokens;
+    meanTokens_ += (static_cast<double>(tokens) - meanTokens_) * (meanTokens_ == 0.0 ? 1.0 : TokenWeight);
 }
 
 void UpstreamLoad::end(std::uint32_t tokens)
@@ -53,6 +56,12 @@
     suspectUntil_ = now + std::min(pause, LongestSuspicion);
 }
 
+double UpstreamLoad::tokens(TimePoint now) const
+{
+    const double others = std::max(0.0, requests(now) - static_cast<double>(own_));
+    return static_cast<double>(ownTokens_) + others * meanTokens_;
+}
+
 void UpstreamLoad::noteFull(TimePoint now)
 {
     fullUntil_ = now + FullPause;
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -32,8 +32,8 @@
     /** Requests believed to be at the upstream, from all nodes. */
     double requests(TimePoint now) const;
 
-    /** Prompt and answer tokens of this node's requests there. */
-    std::uint64_t ownTokens() const { return ownTokens_; }
+    /** Prompt and answer tokens believed to be there, if other nodes' requests are as large as this node's. */
+    double tokens(TimePoint now) const;
 
     std::uint32_t own() const { return own_; }
 
@@ -49,6 +49,8 @@
 private:
     std::uint32_t own_ = 0;
     std::uint64_t ownTokens_ = 0;
+    /** Smoothed tokens of one request. */
+    double meanTokens_ = 0.0;
     /** Requests of other nodes when the upstream last stated its load. */
     double others_ = 0.0;
     TimePoint statedAt_;
