Divide engines by the square root of the bearable pause, from steadier demand

By the figures of that site a letter takes an engine about 12 us a token like a chat, so the division by the pause itself left letters' engines overloaded in a rush (6.8 letters a second and engine, where about 5 can be borne).

Ruled out: load or processor (0.009 cores a node).

--- a/servers/relay/engine_sharing.cpp
+++ b/servers/relay/engine_sharing.cpp
@@ -15,22 +15,34 @@
 constexpr double HalfLifeSeconds = 5.0;
 /** Engines by which the demand must differ from the last division before it changes. */
 constexpr double Hysteresis = 0.7;
-/** Below this weight there is no such demand: a single small request in the last half-life. */
-constexpr double SmallestDemand = 0.05;
+/** Weight of the newest request in the mean size of a prompt. */
+constexpr double TokenWeight = 0.04;
+/** Requests below which a target counts as unused. */
+constexpr double FewestRequests = 0.2;
+/** Requests of each kind that are assumed before there are any. */
+constexpr double AssumedRequests = 2.0;
 
 } // namespace
 
-double EngineSharing::Demand::at(TimePoint now) const
+double EngineSharing::Demand::requestsAt(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - updatedAt).count();
-    return weight * std::exp2(-age / HalfLifeSeconds);
+    return requests * std::exp2(-age / HalfLifeSeconds);
+}
+
+double EngineSharing::weightOf(Duration pauseTarget, const Demand &demand, TimePoint now)
+{
+    const double pause = std::max(1.0, static_cast<double>(toMilliseconds(pauseTarget)));
+    return (demand.requestsAt(now) + AssumedRequests) * demand.meanTokens / std::sqrt(pause);
 }
 
 void EngineSharing::noteRequest(Duration pauseTarget, std::uint32_t promptTokens, TimePoint now)
 {
     Demand &demand = demands_[pauseTarget];
-    const double pause = std::max(1.0, static_cast<double>(toMilliseconds(pauseTarget)));
-    demand.weight = demand.at(now) + static_cast<double>(promptTokens) / pause;
+    const double tokens = static_cast<double>(promptTokens);
+    demand.meanTokens =
+        demand.meanTokens == 0.0 ? tokens : demand.meanTokens + (tokens - demand.meanTokens) * TokenWeight;
+    demand.requests = demand.requestsAt(now) + 1.0;
     demand.updatedAt = now;
 }
 
@@ -39,7 +51,7 @@
                                                     std::vector<UpstreamName> engines,
                                                     TimePoint now)
 {
-    std::erase_if(demands_, [now](const auto &entry) { return entry.second.at(now) < SmallestDemand; });
+    std::erase_if(demands_, [now](const auto &entry) { return entry.second.requestsAt(now) < FewestRequests; });
     if (engines.size() < 2 || demands_.empty()) {
         return engines;
     }
@@ -47,9 +59,9 @@
     double tight = 0.0;
     double loose = 0.0;
     for (const auto &[target, demand] : demands_) {
-        (target >= looseFrom ? loose : tight) += demand.at(now);
+        (target >= looseFrom ? loose : tight) += weightOf(target, demand, now);
     }
-    if (loose < SmallestDemand) {
+    if (loose == 0.0) {
         return engines;
     }
     const std::uint64_t seed = XXH64(pool.text().data(), pool.text().size(), 0);
--- a/servers/relay/engine_sharing.h
+++ b/servers/relay/engine_sharing.h
@@ -12,8 +12,8 @@
 
 /** Answers a rush of long prompts: an engine reads a prompt between the answers of all requests beside it, which then
  *  pause. Requests whose target for pauses is a multiple of the shortest one get engines of their own, in proportion to
- *  their prompt tokens a second divided by the pause that they bear. All nodes order the engines alike and see similar
- *  requests, so that they need not agree. */
+ *  their prompt tokens a second divided by the square root of the pause that they bear. All nodes order the engines
+ *  alike and see similar requests, so that they need not agree. */
 class EngineSharing
 {
 public:
@@ -28,15 +28,19 @@
                                          TimePoint now);
 
 private:
-    /** Sum of prompt tokens / bearable pause, which decays with time. */
     struct Demand
     {
-        double weight = 0.0;
+        /** Number of requests, which decays with time. */
+        double requests = 0.0;
+        double meanTokens = 0.0;
         TimePoint updatedAt;
 
-        double at(TimePoint now) const;
+        double requestsAt(TimePoint now) const;
     };
 
+    /** What the requests with one target ask for. */
+    static double weightOf(Duration pauseTarget, const Demand &demand, TimePoint now);
+
     std::map<Duration, Demand> demands_;
     /** Engines of the requests that bear longer pauses in the last division; kept while the demand is near it. */
     std::size_t looseEngines_ = 0;
