--- /dev/null
+++ b/development/platform_standins/server_stand_in.cpp
@@ -0,0 +1,257 @@
+#include "development/platform_standins/server_stand_in.h"
+
+#include <sstream>
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <xxhash.h>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** The words of the field "Stand-In". */
+struct Script
+{
+    std::uint64_t events = 0;
+    std::uint64_t gap = 0;
+    std::optional<std::uint64_t> cut;
+    std::string fault;
+};
+
+std::uint64_t numberOf(const std::string &word)
+{
+    return std::stoull(word.substr(word.find('=') + 1));
+}
+
+Script parseScript(const std::string &text, bool firstRun)
+{
+    Script script;
+    std::istringstream words(text);
+    std::string word;
+    bool applies = true;
+    while (words >> word) {
+        if (word.starts_with("events=")) {
+            script.events = numberOf(word);
+        } else if (word.starts_with("gap=")) {
+            script.gap = numberOf(word);
+        } else if (word == "first") {
+            applies = firstRun;
+        } else if (word.starts_with("cut=") && applies) {
+            script.cut = numberOf(word);
+        } else if (applies) {
+            script.fault = word;
+        }
+    }
+    return script;
+}
+
+std::string chunkOf(const std::string &bytes)
+{
+    std::ostringstream text;
+    text << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+    return text.str();
+}
+
+std::string hashOf(const std::string &text)
+{
+    return std::to_string(XXH64(text.data(), text.size(), 0));
+}
+
+} // namespace
+
+struct ServerStandIn::Job
+{
+    Job(boost::asio::io_context &context) : timer(context) { }
+
+    std::shared_ptr<RawSession> session;
+    std::string requestId;
+    std::string method;
+    std::string target;
+    std::string body;
+    Script script;
+    std::uint64_t nextEvent = 1;
+    bool over = false;
+    boost::asio::steady_timer timer;
+};
+
+std::string standInBody(const std::string &method, const std::string &target, const std::string &body)
+{
+    return method + " " + target + " " + hashOf(body) + " " + std::string(body.size() % 200, 'x') + "\n";
+}
+
+std::string standInEvent(const std::string &target, const std::string &body, std::uint64_t index)
+{
+    const std::string number = std::to_string(index);
+    return "id: " + number + "\ndata: " + hashOf(target + body + number) + "\n\n";
+}
+
+std::string standInEvents(const std::string &target, const std::string &body, std::uint64_t count)
+{
+    std::string events;
+    for (std::uint64_t index = 1; index <= count; ++index) {
+        events += standInEvent(target, body, index);
+    }
+    return events;
+}
+
+ServerStandIn::ServerStandIn(ServerSettings settings, boost::asio::io_context &context, RunLedger &ledger)
+    : settings_(std::move(settings))
+    , context_(context)
+    , ledger_(ledger)
+    , server_(context,
+              settings_.listenAddress,
+              [this](const std::shared_ptr<RawSession> &session, const RawSession::Request &request) {
+                  handle(session, request);
+              })
+{
+}
+
+std::string ServerStandIn::registration(const std::string &state) const
+{
+    return boost::json::serialize(boost::json::object { { "service", settings_.service },
+                                                        { "address", address() },
+                                                        { "zone", settings_.zone },
+                                                        { "version", "v1" },
+                                                        { "slots", settings_.slots },
+                                                        { "state", state },
+                                                        { "cold_left_ms", 0 },
+                                                        { "seq", 1 } });
+}
+
+std::string ServerStandIn::head(unsigned status, const std::string &requestId, const std::string &fields) const
+{
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + requestId + "\r\nInstance-Id: " + settings_.id
+        + "\r\nServer-Load: " + std::to_string(running_) + ",0," + std::to_string(settings_.slots) + "\r\n" + fields;
+}
+
+void ServerStandIn::handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
+{
+    const std::string requestId(request["Request-Id"]);
+    const std::string expected(request["Expect-Instance"]);
+    if (!expected.empty() && expected != settings_.id) {
+        session->send(head(421, requestId, "Content-Length: 0\r\n\r\n"));
+        session->finish();
+        return;
+    }
+    const bool firstRun = ledger_[requestId].empty();
+    const Script script = parseScript(std::string(request["Stand-In"]), firstRun);
+    if (script.fault == "full" || requestId.empty()) {
+        session->send(head(503, requestId, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+        session->finish();
+        return;
+    }
+    run(session, request);
+}
+
+void ServerStandIn::run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
+{
+    const std::shared_ptr<Job> job = std::make_shared<Job>(context_);
+    job->session = session;
+    job->requestId = std::string(request["Request-Id"]);
+    job->method = std::string(request.method_string());
+    job->target = std::string(request.target());
+    job->body = request.body();
+    std::vector<ServerRun> &runs = ledger_[job->requestId];
+    job->script = parseScript(std::string(request["Stand-In"]), runs.empty());
+    ServerRun run { settings_.id,
+                    job->method,
+                    job->target,
+                    job->body,
+                    std::string(request["Tenant"]),
+                    std::string(request["Deadline-Ms"]),
+                    "",
+                    0 };
+    for (const char *name : { "Authorization", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch" }) {
+        run.unexpected += std::string(request[name]);
+    }
+    if (request.count("Last-Event-Id") != 0) {
+        run.lastEventId = std::stoull(std::string(request["Last-Event-Id"]));
+    }
+    job->nextEvent = run.lastEventId + 1;
+    runs.push_back(run);
+    ++running_;
+    session->whenPeerCloses([this, job]() {
+        job->over = true;
+        job->timer.cancel();
+        --running_;
+    });
+    if (job->script.fault == "mute") {
+        return;
+    }
+    if (job->script.fault == "reset" || job->script.fault == "junk") {
+        session->send(job->script.fault == "junk" ? std::string("no answer at all\r\n\r\n") : std::string());
+        job->script.fault == "junk" ? session->closeAfterSending() : session->reset();
+        return;
+    }
+    if (job->script.events > 0 && job->script.fault.empty()) {
+        session->send(head(200,
+                           job->requestId,
+                           "Server-Seal: " + settings_.id
+                               + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        sendNextEvent(job);
+        return;
+    }
+    job->timer.expires_after(std::chrono::milliseconds(job->script.gap));
+    job->timer.async_wait([this, job](const boost::system::error_code &error) {
+        if (!error && !job->over) {
+            answerWhole(job);
+        }
+    });
+}
+
+void ServerStandIn::sendNextEvent(const std::shared_ptr<Job> &job)
+{
+    job->timer.expires_after(std::chrono::milliseconds(job->script.gap));
+    job->timer.async_wait([this, job](const boost::system::error_code &error) {
+        if (error || job->over) {
+            return;
+        }
+        if (job->nextEvent > job->script.events) {
+            --running_;
+            job->over = true;
+            job->session->whenPeerCloses(nullptr);
+            job->session->send("0\r\n\r\n");
+            job->session->finish();
+            return;
+        }
+        const std::string event = standInEvent(job->target, job->body, job->nextEvent);
+        if (job->script.cut.has_value() && job->nextEvent > *job->script.cut) {
+            job->session->send(chunkOf(event.substr(0, event.size() / 2)));
+            job->session->closeAfterSending();
+            return;
+        }
+        job->session->send(chunkOf(event));
+        ++job->nextEvent;
+        sendNextEvent(job);
+    });
+}
+
+void ServerStandIn::answerWhole(const std::shared_ptr<Job> &job)
+{
+    const Script &script = job->script;
+    const bool failed = script.fault == "fail";
+    const std::string body = failed ? "failed\n" : standInBody(job->method, job->target, job->body);
+    const std::string requestId = script.fault == "foreign" ? "another" : job->requestId;
+    const bool unframed = script.fault == "unframed";
+    const std::string length = unframed ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string answer =
+        head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n") + body;
+    --running_;
+    job->over = true;
+    job->session->whenPeerCloses(nullptr);
+    if (script.cut.has_value()) {
+        job->session->send(answer.substr(0, answer.size() - body.size() / 2));
+        job->session->closeAfterSending();
+        return;
+    }
+    job->session->send(script.fault == "extra" ? answer + answer : answer);
+    if (unframed) {
+        job->session->closeAfterSending();
+        return;
+    }
+    job->session->finish();
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/development/platform_standins/server_stand_in.h
@@ -0,0 +1,105 @@
+/** Stand-in of a server of the platform: a model server or a plain service. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "core/core.h"
+#include "development/platform_standins/raw_session.h"
+
+namespace GeraniumLever {
+
+/** A request as a server has run it. */
+struct ServerRun
+{
+    std::string server;
+    std::string method;
+    std::string target;
+    std::string body;
+    std::string tenant;
+    std::string deadline;
+    /** Fields that only the system may set, and the caller's key, as far as they arrived. */
+    std::string unexpected;
+    std::uint64_t lastEventId = 0;
+
+    auto operator<=>(const ServerRun &) const = default;
+};
+
+/** What all servers have run, by the request's identifier. */
+using RunLedger = std::map<std::string, std::vector<ServerRun>>;
+
+struct ServerSettings
+{
+    std::string listenAddress;
+    /** The name under which it registers itself. */
+    std::string id;
+    std::string service;
+    std::string zone = "dc";
+    std::uint32_t slots = 8;
+
+    bool operator==(const ServerSettings &) const = default;
+};
+
+/**
+ * Answers with a text that follows from the request alone, so that whole answers can be checked byte for byte. The
+ * request's own field "Stand-In" says what goes wrong, in words separated by blanks:
+ *   events=N         answers with N server-sent events
+ *   gap=MS           pause before each event, and before an answer without events
+ *   first            what follows holds only for the first run of the request
+ *   cut=N            closes in the middle of event N + 1, or of the body
+ *   reset            resets the connection in place of an answer
+ *   fail             answers 500
+ *   full             answers 503 and states that nothing ran
+ *   extra            sends the answer twice
+ *   foreign          answers with another request's identifier
+ *   junk             sends bytes that are no answer
+ *   mute             gives no answer
+ *   unframed         ends the body with the connection
+ */
+class ServerStandIn
+{
+public:
+    ServerStandIn(ServerSettings settings, boost::asio::io_context &context, RunLedger &ledger);
+
+    std::string address() const { return server_.address(); }
+
+    /** The row that it writes into the store. */
+    std::string registration(const std::string &state = "ready") const;
+
+    /** Resets all connections and accepts no more. */
+    void crash() { server_.stop(); }
+
+    /** Requests that are being answered. */
+    std::uint32_t running() const { return running_; }
+
+private:
+    struct Job;
+
+    void handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
+    void run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
+    void sendNextEvent(const std::shared_ptr<Job> &job);
+    void answerWhole(const std::shared_ptr<Job> &job);
+    std::string head(unsigned status, const std::string &requestId, const std::string &fields) const;
+
+    ServerSettings settings_;
+    boost::asio::io_context &context_;
+    RunLedger &ledger_;
+    std::uint32_t running_ = 0;
+    RawServer server_;
+};
+
+/** The whole body that a server answers with. */
+std::string standInBody(const std::string &method, const std::string &target, const std::string &body);
+
+/** Event number index, from 1, of a stream. */
+std::string standInEvent(const std::string &target, const std::string &body, std::uint64_t index);
+
+/** The whole stream. */
+std::string standInEvents(const std::string &target, const std::string &body, std::uint64_t count);
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/development/platform_standins/store_stand_in.h
@@ -0,0 +1,83 @@
+/** Stand-in of the platform's store. */
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/core.h"
+#include "development/platform_standins/raw_session.h"
+#include "development/platform_standins/store_tables.h"
+
+namespace GeraniumLever {
+
+/** What goes wrong with calls. */
+enum class StoreFault : std::uint8_t {
+    None,
+    /** 503; nothing is done. */
+    Busy,
+    /** 429; nothing is done. */
+    Many,
+    /** The connection is reset; nothing is done. */
+    Reset,
+    /** No answer; nothing is done. */
+    Silent,
+    /** Done, and the answer is lost. */
+    LoseAnswers,
+    /** Done a second later, and not answered. */
+    Late,
+    /** Answered 300 ms late. */
+    Slow,
+};
+
+/** Tables, feed and objects over HTTP. Faults may hold for callers from some addresses only. */
+class StoreStandIn
+{
+public:
+    StoreStandIn(boost::asio::io_context &context, const std::string &address);
+
+    std::string address() const { return server_.address(); }
+
+    void setFault(StoreFault fault) { fault_ = fault; }
+
+    void dropHistory() { tables_.dropHistory(); }
+
+    /** Writes a row without any call; value: plain bytes. */
+    void put(const std::string &table, const std::string &key, std::string_view value);
+    void remove(const std::string &table, const std::string &key);
+
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    struct Reply
+    {
+        unsigned status = 200;
+        std::string body;
+        /** True for objects. */
+        bool bytes = false;
+    };
+
+    void handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
+    void answer(const std::shared_ptr<RawSession> &session, const Reply &reply);
+    Reply carryOut(const RawSession::Request &request);
+    Reply transact(const std::string &body);
+    Reply readRows(const std::map<std::string, std::string> &query) const;
+    Reply listParts(const std::map<std::string, std::string> &query) const;
+    Reply object(const RawSession::Request &request, const std::string &path);
+    /** Answers at once if there are changes, else when the wait is over. */
+    void feed(const std::shared_ptr<RawSession> &session,
+              const std::map<std::string, std::string> &query,
+              std::chrono::steady_clock::time_point until);
+
+    boost::asio::io_context &context_;
+    StoreTables tables_;
+    std::map<std::string, std::string> objects_;
+    StoreFault fault_ = StoreFault::None;
+    std::uint64_t calls_ = 0;
+    RawServer server_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/platform/platform_dialect_test.cpp
@@ -0,0 +1,115 @@
+#include "platform/platform_dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace GeraniumLever {
+namespace {
+
+namespace http = boost::beast::http;
+
+RelayCall callOf(const std::vector<std::pair<std::string, std::string>> &fields)
+{
+    RelayCall call;
+    call.method = "POST";
+    call.target = "/a/b?x=1";
+    call.fields.set(http::field::host, "h.example:80");
+    call.fields.set("Request-Id", "r1");
+    for (const auto &[name, value] : fields) {
+        call.fields.insert(name, value);
+    }
+    return call;
+}
+
+TEST(PlatformDialectTest, ReadsWhatTheRelayDecidesOn)
+{
+    RelayCall call = callOf({ { "Deadline-Ms", "1500" },
+                              { "Authorization", "Bearer k" },
+                              { "Token-Counts", "1460,80" },
+                              { "Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,odd,e4402b7d:250" } });
+    const PlatformDialect dialect;
+    ASSERT_EQ(dialect.readRequest(call), std::nullopt);
+    EXPECT_EQ(call.facts.callerId, "r1");
+    EXPECT_EQ(call.facts.path, "/a/b");
+    EXPECT_EQ(call.facts.key, "k");
+    EXPECT_EQ(call.facts.deadline, std::chrono::milliseconds(1500));
+    EXPECT_EQ(call.facts.prompt.promptTokens, 1460U);
+    EXPECT_EQ(call.facts.prompt.outputTokens, 80U);
+    ASSERT_EQ(call.facts.prompt.parts.size(), 3U);
+    EXPECT_EQ(call.facts.prompt.parts[1].tokens, 410U);
+}
+
+TEST(PlatformDialectTest, SetsTheSystemsFieldsWhateverTheCallerSent)
+{
+    RelayCall call = callOf({ { "Tenant", "forged" },
+                              { "Expect-Instance", "forged" },
+                              { "Request-Priority", "0" },
+                              { "Authorization", "Bearer k" },
+                              { "X-Other", "kept" },
+                              { "Length-Hint", "9" } });
+    const PlatformDialect dialect;
+    ASSERT_EQ(dialect.readRequest(call), std::nullopt);
+    RelayDispatch dispatch;
+    dispatch.upstream = UpstreamName("i-1");
+    dispatch.team = TeamName("one");
+    dispatch.timeLeft = std::chrono::milliseconds(700);
+    dispatch.tier = 12;
+    dispatch.engine = true;
+    const http::fields fields = dialect.fieldsFor(call, dispatch, "");
+    EXPECT_EQ(fields["Tenant"], "one");
+    EXPECT_EQ(fields["Expect-Instance"], "i-1");
+    EXPECT_EQ(fields["Deadline-Ms"], "700");
+    EXPECT_EQ(fields["Request-Priority"], "9");
+    EXPECT_EQ(fields["X-Other"], "kept");
+    EXPECT_EQ(fields["Length-Hint"], "9");
+    EXPECT_EQ(fields.count(http::field::authorization), 0U);
+    EXPECT_EQ(fields.count("Last-Event-Id"), 0U);
+}
+
+TEST(PlatformDialectTest, AnAnswerMustNameItsRequest)
+{
+    const RelayCall call = [] {
+        RelayCall made = callOf({});
+        EXPECT_EQ(PlatformDialect().readRequest(made), std::nullopt);
+        return made;
+    }();
+    const PlatformDialect dialect;
+    http::fields fields;
+    EXPECT_FALSE(dialect.belongsTo(call, dialect.readHead(200, fields), fields));
+    EXPECT_TRUE(dialect.belongsTo(call, dialect.readHead(421, fields), fields));
+    fields.set("Request-Id", "r2");
+    EXPECT_FALSE(dialect.belongsTo(call, dialect.readHead(421, fields), fields));
+    fields.set("Request-Id", "r1");
+    EXPECT_TRUE(dialect.belongsTo(call, dialect.readHead(200, fields), fields));
+}
+
+TEST(PlatformDialectTest, OnlyTheServersWordMeansNotRun)
+{
+    const PlatformDialect dialect;
+    http::fields fields;
+    EXPECT_FALSE(dialect.readHead(503, fields).notRun);
+    EXPECT_TRUE(dialect.readHead(421, fields).notRun);
+    fields.set("Not-Executed", "1");
+    EXPECT_TRUE(dialect.readHead(503, fields).notRun);
+}
+
+TEST(PlatformDialectTest, ReadsStatedLoads)
+{
+    const PlatformDialect dialect;
+    http::fields fields;
+    fields.set("Server-Load", "3,1,8");
+    EXPECT_EQ(dialect.readHead(200, fields).load, (StatedLoad { 3, 1, 8 }));
+    for (const std::string text : { "3,1", "3,1,x", "", "-1,0,8" }) {
+        fields.set("Server-Load", text);
+        EXPECT_EQ(dialect.readHead(200, fields).load, std::nullopt) << text;
+    }
+}
+
+TEST(PlatformDialectTest, TimesToComeBackMayBeFractions)
+{
+    http::fields fields;
+    PlatformDialect().markRefusal(fields, { ResultCode::Shed, "", std::chrono::milliseconds(350) });
+    EXPECT_EQ(fields[http::field::retry_after], "0.350");
+}
+
+} // namespace
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/platform/platform_store_test.cpp
@@ -0,0 +1,74 @@
+#include "platform/platform_store.h"
+
+#include <gtest/gtest.h>
+
+#include "development/platform_standins/platform_standins.h"
+#include "tests/drivers/http/event_loop.h"
+
+namespace GeraniumLever {
+namespace {
+
+class PlatformStoreTest : public testing::Test
+{
+protected:
+    PlatformStoreTest()
+        : store_(loop_.context(), "127.0.0.1:0")
+        , client_(loop_.context(), store_.address(), std::chrono::milliseconds(200))
+    {
+    }
+
+    Result<SiteConfiguration> readConfiguration()
+    {
+        std::optional<Result<SiteConfiguration>> result;
+        client_.readConfiguration([&](Result<SiteConfiguration> read) { result = std::move(read); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
+        return *result;
+    }
+
+    Result<std::vector<UpstreamEntry>> readUpstreams()
+    {
+        std::optional<Result<std::vector<UpstreamEntry>>> result;
+        client_.readUpstreams([&](Result<std::vector<UpstreamEntry>> read) { result = std::move(read); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
+        return *result;
+    }
+
+    EventLoop loop_;
+    StoreStandIn store_;
+    PlatformStore client_;
+};
+
+TEST_F(PlatformStoreTest, TellsAnAbsentConfigurationFromAStoreThatIsAway)
+{
+    store_.put("op", "other", "{}");
+    EXPECT_EQ(errorOf(readConfiguration()).code, ResultCode::ObjectNotFound);
+    store_.put("op", "config", "{\"version\":3}");
+    EXPECT_EQ(valueOf(readConfiguration()).version, ConfigurationVersion(3));
+    for (const StoreFault fault : { StoreFault::Busy,
+                                    StoreFault::Many,
+                                    StoreFault::Reset,
+                                    StoreFault::Silent,
+                                    StoreFault::LoseAnswers,
+                                    StoreFault::Late,
+                                    StoreFault::Slow }) {
+        store_.setFault(fault);
+        EXPECT_EQ(errorOf(readConfiguration()).code, ResultCode::TableUnavailable);
+    }
+    store_.setFault(StoreFault::None);
+    EXPECT_TRUE(succeeded(readConfiguration()));
+}
+
+TEST_F(PlatformStoreTest, ReadsMoreUpstreamsThanOneAnswerHolds)
+{
+    constexpr int Upstreams = 1203;
+    for (int number = 0; number < Upstreams; ++number) {
+        store_.put("servers",
+                   "i-" + std::to_string(number),
+                   R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})");
+    }
+    store_.put("servers", "i-7 odd/name", "junk");
+    EXPECT_EQ(valueOf(readUpstreams()).size(), static_cast<std::size_t>(Upstreams));
+}
+
+} // namespace
+} // namespace GeraniumLever
