Order requests by the team's tier first, then by the route's

RouteTable now ranks (team, route).

Ruled out: memory alone (placing already keeps to 80% of an engine's tokens; a preemption by itself breaks nothing). The test that had the wrong reading is replaced by one that asks for both keys, in order; it failed before.

--- a/servers/relay/relay_admission.cpp
+++ b/servers/relay/relay_admission.cpp
@@ -39,20 +39,20 @@
         return Error { ResultCode::UnknownPath, "no route serves this host and path", std::nullopt };
     }
     RelayRow row;
-    row.tier = route->tier;
+    const RouteTeam *team = nullptr;
     if (table->needsKey(*route)) {
         if (*configuration.age(now) > limits.keyLifetime) {
             return Error { ResultCode::ConfigurationOutdated,
                            "the newest known configuration is too old to check keys",
                            ConfigurationRetryAfter };
         }
-        const RouteTeam *team = table->teamOf(request.key);
+        team = table->teamOf(request.key);
         if (team == nullptr) {
             return Error { ResultCode::Unauthorized, "the key belongs to no team", std::nullopt };
         }
         row.team = team->name;
-        row.tier = team->tier.value_or(route->tier);
     }
+    row.tier = table->tierOf(*route, team);
     row.request = request;
     row.table = table;
     row.route = route;
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -119,8 +119,9 @@
     TeamName team;
     /** How long the upstream may work. */
     Duration timeLeft { 0 };
-    /** 0 is the highest. */
+    /** Rank among the configuration's tiers, of which there are tierCount; 0 is the highest. */
     std::uint32_t tier = 0;
+    std::uint32_t tierCount = 1;
     /** True if the upstream is a language-model engine. */
     bool engine = false;
     bool streamed = false;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -215,6 +215,7 @@
     command.team = row.team;
     command.timeLeft = row.deadline - now;
     command.tier = row.tier;
+    command.tierCount = row.table->tierCount();
     command.engine = row.traits != nullptr && row.traits->engines;
     command.streamed = row.route->streamed;
     command.resumable = row.route->resumable;
--- a/servers/routing/route_table.cpp
+++ b/servers/routing/route_table.cpp
@@ -6,6 +6,24 @@
 
 namespace GeraniumLever {
 
+namespace {
+
+/** Tier of requests without a team, and of teams for which none is set. */
+constexpr std::uint32_t DefaultTeamTier = 0;
+
+void sortUnique(std::vector<std::uint32_t> &tiers)
+{
+    std::sort(tiers.begin(), tiers.end());
+    tiers.erase(std::unique(tiers.begin(), tiers.end()), tiers.end());
+}
+
+std::uint32_t indexOf(const std::vector<std::uint32_t> &tiers, std::uint32_t tier)
+{
+    return static_cast<std::uint32_t>(std::lower_bound(tiers.begin(), tiers.end(), tier) - tiers.begin());
+}
+
+} // namespace
+
 RouteTable::RouteTable(SiteConfigurationPtr configuration) : configuration_(std::move(configuration))
 {
     for (const Route &route : configuration_->routes) {
@@ -19,6 +37,22 @@
     for (const PoolTraits &traits : configuration_->pools) {
         pools_.emplace(traits.name, &traits);
     }
+    teamTiers_.push_back(DefaultTeamTier);
+    for (const RouteTeam &team : configuration_->teams) {
+        teamTiers_.push_back(team.tier.value_or(DefaultTeamTier));
+    }
+    for (const Route &route : configuration_->routes) {
+        routeTiers_.push_back(route.tier);
+    }
+    sortUnique(teamTiers_);
+    sortUnique(routeTiers_);
+}
+
+std::uint32_t RouteTable::tierOf(const Route &route, const RouteTeam *team) const
+{
+    const std::uint32_t teamTier = team == nullptr ? DefaultTeamTier : team->tier.value_or(DefaultTeamTier);
+    const std::uint32_t routeTiers = static_cast<std::uint32_t>(routeTiers_.size());
+    return indexOf(teamTiers_, teamTier) * routeTiers + indexOf(routeTiers_, route.tier);
 }
 
 const Route *RouteTable::match(std::string_view host, std::string_view path) const
--- a/servers/routing/route_table.h
+++ b/servers/routing/route_table.h
@@ -29,6 +29,13 @@
     /** True if requests of the route must carry a key. */
     bool needsKey(const Route &route) const { return !route.open && !configuration_->teams.empty(); }
 
+    /** Rank of a team's requests on a route among all teams and routes, 0 being the highest: the team's tier decides
+     *  first, then the route's. team: nullptr for requests without a key. */
+    std::uint32_t tierOf(const Route &route, const RouteTeam *team) const;
+
+    /** Number of ranks. */
+    std::uint32_t tierCount() const { return static_cast<std::uint32_t>(teamTiers_.size() * routeTiers_.size()); }
+
     const SiteConfiguration &configuration() const { return *configuration_; }
 
 private:
@@ -39,6 +46,9 @@
     std::map<std::string, Prefixes, std::less<>> hosts_;
     std::unordered_map<std::string, const RouteTeam *> keys_;
     std::map<PoolName, const PoolTraits *> pools_;
+    /** Different tiers in ascending order. */
+    std::vector<std::uint32_t> teamTiers_;
+    std::vector<std::uint32_t> routeTiers_;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/servers/routing/site_configuration.h
+++ b/servers/routing/site_configuration.h
@@ -92,7 +92,7 @@
 {
     TeamName name;
     std::vector<std::string> keys;
-    /** Takes precedence over the tier of the route. */
+    /** Orders teams before the routes' tiers do; 0 is the highest. */
     std::optional<std::uint32_t> tier;
 
     auto operator<=>(const RouteTeam &) const = default;
--- a/tests/main/relay/relay_node_fixture.cpp
+++ b/tests/main/relay/relay_node_fixture.cpp
@@ -85,6 +85,9 @@
 RelayNodeFixture::RelayNodeFixture()
     : store_(loop_.context(), "127.0.0.1:0"), log_(open("/dev/null", O_WRONLY | O_CLOEXEC))
 {
+    if (!google::IsGoogleLoggingInitialized()) {
+        google::InitGoogleLogging("relay_node_test");
+    }
     logOnlyTo(log_);
     settings_.node = NodeName("node");
     settings_.dataCenter = DataCenterName("dc");
--- a/tests/platform/platform_dialect_test.cpp
+++ b/tests/platform/platform_dialect_test.cpp
@@ -53,6 +53,7 @@
     dispatch.team = TeamName("one");
     dispatch.timeLeft = std::chrono::milliseconds(700);
     dispatch.tier = 12;
+    dispatch.tierCount = 13;
     dispatch.engine = true;
     const http::fields fields = dialect.fieldsFor(call, dispatch, "");
     EXPECT_EQ(fields["Tenant"], "one");
@@ -65,6 +66,24 @@
     EXPECT_EQ(fields.count("Last-Event-Id"), 0U);
 }
 
+TEST(PlatformDialectTest, TiersKeepTheirOrderAsPriorities)
+{
+    const PlatformDialect dialect;
+    RelayDispatch dispatch;
+    dispatch.engine = true;
+    for (const std::uint32_t count : { 1U, 6U, 10U, 24U }) {
+        dispatch.tierCount = count;
+        int last = -1;
+        for (dispatch.tier = 0; dispatch.tier < count; ++dispatch.tier) {
+            const int priority =
+                std::stoi(std::string(dialect.fieldsFor(callOf({}), dispatch, "")["Request-Priority"]));
+            EXPECT_GE(priority, last + (count <= 10 ? 1 : 0));
+            EXPECT_LE(priority, 9);
+            last = priority;
+        }
+    }
+}
+
 TEST(PlatformDialectTest, AnAnswerMustNameItsRequest)
 {
     const RelayCall call = [] {
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -49,12 +49,17 @@
     EXPECT_EQ(refusals(arrive("/other/1")).at(0).error.code, ResultCode::UnknownPath);
 }
 
-TEST_F(RelaySystemTest, ATeamsTierGoesBeforeTheRoutes)
+TEST_F(RelaySystemTest, ATeamsTierGoesBeforeTheRoutesAndTheRoutesDecidesWithinIt)
 {
     configuration_.teams[0].tier = 7;
     learn();
-    EXPECT_EQ(dispatches(arrive("/stream/1")).at(0).tier, 7U);
-    EXPECT_EQ(dispatches(arrive("/stream/1", "key-two")).at(0).tier, 2U);
+    const std::uint32_t lowLive = dispatches(arrive("/live/1")).at(0).tier;
+    const std::uint32_t lowStream = dispatches(arrive("/stream/1")).at(0).tier;
+    const std::uint32_t highLive = dispatches(arrive("/live/1", "key-two")).at(0).tier;
+    const std::uint32_t highStream = dispatches(arrive("/stream/1", "key-two")).at(0).tier;
+    EXPECT_LT(highLive, highStream);
+    EXPECT_LT(highStream, lowLive);
+    EXPECT_LT(lowLive, lowStream);
 }
 
 TEST_F(RelaySystemTest, TheTimeLeftIsTheShorterOfDeadlineAndTimeout)
