--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -94,7 +94,14 @@
                                  TimePoint now,
                                  RelayCommands &commands)
 {
-    const DirectoryChanges changes = directory_.learn(list, asOf, now);
+    noteChanges(directory_.learn(list, asOf, now), commands);
+    for (auto &[pool, queue] : queues_) {
+        serveQueue(pool, now, commands);
+    }
+}
+
+void RelaySystem::noteChanges(const DirectoryChanges &changes, RelayCommands &commands)
+{
     if (changes.empty()) {
         return;
     }
@@ -113,9 +120,6 @@
             commands.emplace_back(std::move(decision));
         }
     }
-    for (auto &[pool, queue] : queues_) {
-        serveQueue(pool, now, commands);
-    }
 }
 
 // Requests.
@@ -441,6 +445,7 @@
 
 void RelaySystem::tick(TimePoint now, RelayCommands &commands)
 {
+    noteChanges(directory_.expire(now), commands);
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
         const bool expired = now >= row.deadline;
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -68,6 +68,7 @@
     std::vector<RelayMeasured> takeMeasured();
 
 private:
+    void noteChanges(const DirectoryChanges &changes, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
     /** Sends the request to an upstream, or lets it wait, or gives it up. */
     void place(RelayRow &row, TimePoint now, RelayCommands &commands);
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -48,4 +48,19 @@
     return changes;
 }
 
+DirectoryChanges UpstreamDirectory::expire(TimePoint now)
+{
+    DirectoryChanges changes;
+    lapsed_.eraseIf([&](const UpstreamName &name, TimePoint keptUntil) {
+        if (now < keptUntil) {
+            return false;
+        }
+        if (entries_.erase(name)) {
+            changes.removed.push_back(name);
+        }
+        return true;
+    });
+    return changes;
+}
+
 } // namespace GeraniumLever
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -53,6 +53,9 @@
     /** Takes a whole list, which was true at some moment not before asOf. */
     DirectoryChanges learn(const std::vector<UpstreamEntry> &list, TimePoint asOf, TimePoint now);
 
+    /** Removes the entries that have not come back in time. To be called every few hundredths of a second. */
+    DirectoryChanges expire(TimePoint now);
+
     /** Notes that the registry did not answer. */
     void readFailed() { away_ = true; }
 
--- a/tests/servers/routing/upstream_directory_test.cpp
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -65,6 +65,20 @@
     EXPECT_FALSE(has("b"));
 }
 
+TEST_F(UpstreamDirectoryTest, ALapsedEntryEndsInTimeWithoutAnotherList)
+{
+    learn({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    learn({ entryOf("a") });
+    clock_.advance(LapseGrace - milliseconds(1));
+    EXPECT_TRUE(directory_.expire(clock_.now()).empty());
+    clock_.advance(milliseconds(1));
+    EXPECT_EQ(directory_.expire(clock_.now()).removed, std::vector<UpstreamName> { UpstreamName("b") });
+    EXPECT_FALSE(has("b"));
+    EXPECT_TRUE(has("a"));
+}
+
 TEST_F(UpstreamDirectoryTest, AnEntryThatWasListedAfterTheReturnHasNotLapsed)
 {
     learn({ entryOf("a"), entryOf("b") });
