Never report a request as not sent after the connect time-out has raced with the connection

Cause: a timer that has expired can no longer be cancelled. The same race closed a probe's connection after it had been kept.

--- a/drivers/relay/relay_client.cpp
+++ b/drivers/relay/relay_client.cpp
@@ -59,14 +59,17 @@
         boost::asio::post(context_, [probed, upstream] { probed({ upstream, false }); });
         return;
     }
+    const std::shared_ptr<bool> connecting = std::make_shared<bool>(true);
     timer->expires_after(UpstreamConnectTimeout);
-    timer->async_wait([connection](const boost::system::error_code &error) {
-        if (!error) {
+    timer->async_wait([connection, connecting](const boost::system::error_code &error) {
+        if (!error && *connecting) {
             connection->close();
         }
     });
     connection->socket().async_connect(
-        *endpoint, [pool = pool_, connection, timer, probed, upstream](const boost::system::error_code &error) {
+        *endpoint,
+        [pool = pool_, connection, timer, connecting, probed, upstream](const boost::system::error_code &error) {
+            *connecting = false;
             timer->cancel();
             const bool reached = !error && connection->socket().is_open();
             if (reached) {
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -104,9 +104,11 @@
         return;
     }
     connection_ = std::make_shared<ClientConnection>(context_, dispatch_.address);
+    connecting_ = true;
     timer_.expires_after(UpstreamConnectTimeout);
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-        if (!error) {
+        // A timer that has expired can no longer be cancelled, though the connection may have been made.
+        if (!error && self->connecting_) {
             self->fail(RelayFailure::Kind::NotConnected);
         }
     });
@@ -119,6 +121,7 @@
     if (over_) {
         return;
     }
+    connecting_ = false;
     timer_.cancel();
     if (error) {
         fail(RelayFailure::Kind::NotConnected);
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -85,6 +85,7 @@
     RelayAnswer answer_;
     /** Body of an answer that is passed on whole. */
     std::string collected_;
+    bool connecting_ = false;
     bool pooled_ = false;
     bool headTaken_ = false;
     bool headPassed_ = false;
--- /dev/null
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -0,0 +1,109 @@
+#include "drivers/relay/relay.h"
+
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "tests/drivers/http/event_loop.h"
+#include "tests/drivers/http/raw_listener.h"
+
+namespace GeraniumLever {
+namespace {
+
+/** A dialect without fields of its own. */
+class PlainDialect : public RelayDialect
+{
+public:
+    std::optional<Error> readRequest(RelayCall &) const override { return std::nullopt; }
+
+    boost::beast::http::fields fieldsFor(const RelayCall &call,
+                                         const RelayDispatch &,
+                                         const std::string &) const override
+    {
+        return call.fields;
+    }
+
+    RelayHead readHead(unsigned status, const boost::beast::http::fields &) const override
+    {
+        RelayHead head;
+        head.status = status;
+        return head;
+    }
+
+    bool belongsTo(const RelayCall &, const RelayHead &, const boost::beast::http::fields &) const override
+    {
+        return true;
+    }
+
+    void markRefusal(boost::beast::http::fields &, const Error &) const override { }
+};
+
+class RelayClientTest : public testing::Test, public RelayExchangeObserver
+{
+protected:
+    RelayClientTest() : listener_(loop_.context()), client_(loop_.context(), dialect_, *this) { }
+
+    void exchangeHead(const RelayHead &, const RelayAnswer &) override { ++heads_; }
+    void exchangeData(const AttemptId &, std::string_view, const std::string &) override { }
+    void exchangeEnded(const AttemptId &) override { ++ended_; }
+    void exchangeFailed(const RelayFailure &failure) override { failures_.push_back(failure.kind); }
+
+    void dispatch()
+    {
+        RelayDispatch dispatch;
+        dispatch.attempt = AttemptId(1, ++lastAttempt_);
+        dispatch.address = listener_.address();
+        dispatch.freshConnection = true;
+        const std::shared_ptr<RelayCall> call = std::make_shared<RelayCall>();
+        call->method = "POST";
+        call->target = "/x";
+        call->fields.set(boost::beast::http::field::host, "a");
+        client_.dispatch(dispatch, call, "");
+    }
+
+    /** The thread stands still, as on a machine without processor time. */
+    static void standStill() { std::this_thread::sleep_for(UpstreamConnectTimeout * 2); }
+
+    EventLoop loop_;
+    RawListener listener_;
+    PlainDialect dialect_;
+    RelayClient client_;
+    int heads_ = 0;
+    int ended_ = 0;
+    std::vector<RelayFailure::Kind> failures_;
+    std::uint64_t lastAttempt_ = 0;
+};
+
+TEST_F(RelayClientTest, ARequestThatWasSentIsNeverReportedAsNotConnected)
+{
+    dispatch();
+    standStill();
+    // Long enough for whatever was sent to arrive on the loopback interface.
+    const std::chrono::steady_clock::time_point settled =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+    loop_.runUntil([settled]() { return std::chrono::steady_clock::now() >= settled; });
+    ASSERT_EQ(listener_.connections().size(), 1U);
+    const bool arrived = listener_.connections()[0]->received() != "";
+    EXPECT_NE(arrived, !failures_.empty());
+}
+
+TEST_F(RelayClientTest, AProbesConnectionIsNotClosedOnceItIsKept)
+{
+    std::vector<RelayProbed> results;
+    client_.probe({ UpstreamName("u"), listener_.address() },
+                  [&results](const RelayProbed &result) { results.push_back(result); });
+    standStill();
+    ASSERT_TRUE(loop_.runUntil([&]() { return results.size() == 1; }));
+    if (!results[0].reached) {
+        return;
+    }
+    ASSERT_TRUE(loop_.runUntil([&]() { return listener_.connections().size() == 1; }));
+    for (int turn = 0; turn < 5; ++turn) {
+        loop_.context().restart();
+        loop_.context().run_one_for(std::chrono::milliseconds(5));
+    }
+    EXPECT_FALSE(listener_.connections()[0]->ended());
+}
+
+} // namespace
+} // namespace GeraniumLever
