--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -22,7 +22,7 @@
 /** How long a stopping node still takes connections: the balancer needs two failed checks, a second apart. */
 constexpr std::chrono::milliseconds AcceptingAfterStop(2600);
 /** Part of the stop limit after which the process ends whatever is still in flight. */
-constexpr double UsedShareOfStopLimit = 0.94;
+constexpr double UsedShareOfStopLimit = 0.86;
 constexpr unsigned HttpUnavailable = 503;
 constexpr unsigned HttpNotFound = 404;
 
