--- /dev/null
+++ b/drivers/peers/peer_link.h
@@ -0,0 +1,36 @@
+/** Datagrams between relays. */
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "drivers/peers/peer_codec.h"
+
+namespace GeraniumLever {
+
+/** Sends and receives reports; none is ever waited for or repeated. */
+class PeerLink
+{
+public:
+    /** from: "a.b.c.d:port" of the sender. */
+    using Handler = std::function<void(const std::string &from, const PeerReport &report)>;
+
+    PeerLink(boost::asio::io_context &context, Handler handler);
+    ~PeerLink();
+
+    /** Begins to receive on "a.b.c.d:port". */
+    Result<Success> start(const std::string &address);
+
+    void send(const std::string &address, const PeerReport &report);
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/drivers/peers/peers.h
@@ -0,0 +1,5 @@
+/** Public header of the peers package: reports between relays. */
+#pragma once
+
+#include "drivers/peers/peer_codec.h"
+#include "drivers/peers/peer_link.h"
--- a/drivers/settings/relay_settings.cpp
+++ b/drivers/settings/relay_settings.cpp
@@ -39,6 +39,7 @@
     readRequiredAddress(reader, "caller_address", settings.callerAddress);
     readRequiredAddress(reader, "status_address", settings.statusAddress);
     readRequiredAddress(reader, "store_address", settings.storeAddress);
+    readAddress(reader, "peer_address", settings.peerAddress);
     readPositive(reader, "key_lifetime_ms", settings.keyLifetime);
     readPositive(reader, "apply_time_ms", settings.applyTime);
     reader.read("repeat_ratio", settings.repeatRatio);
--- a/drivers/settings/relay_settings.h
+++ b/drivers/settings/relay_settings.h
@@ -20,6 +20,8 @@
     /** Where the balancer asks whether the node is ready, and metrics are read. */
     std::string statusAddress;
     std::string storeAddress;
+    /** Where datagrams of other relays arrive; without it the node takes part in no exchange of loads. */
+    std::string peerAddress;
     /** How long a key may be honoured after its removal. */
     Duration keyLifetime = std::chrono::seconds(5);
     /** How soon a configuration must be in force, and a leaving upstream must get nothing more. */
--- a/main/relay/knowledge_reader.cpp
+++ b/main/relay/knowledge_reader.cpp
@@ -10,18 +10,16 @@
 constexpr double PeriodShareOfApplyTime = 0.65;
 /** Keeps the nodes' reads apart. */
 constexpr double PeriodSpread = 0.1;
-/** An answer takes milliseconds; a slow store answers within this time. */
-constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds(250);
 
 } // namespace
 
 KnowledgeReader::KnowledgeReader(boost::asio::io_context &context,
-                                 const std::string &storeAddress,
+                                 PlatformStore &store,
                                  Duration applyTime,
                                  const Clock &clock,
                                  KnowledgeObserver &observer)
-    : store_(context, storeAddress, CallTimeout)
+    : store_(store)
     , clock_(clock)
     , observer_(observer)
     , period_(std::chrono::duration_cast<Duration>(applyTime * PeriodShareOfApplyTime))
--- a/main/relay/knowledge_reader.h
+++ b/main/relay/knowledge_reader.h
@@ -26,9 +26,10 @@
 class KnowledgeReader
 {
 public:
-    /** applyTime: how soon after a change it must be known. The clock and the observer must outlive the reader. */
+    /** applyTime: how soon after a change it must be known. The store, the clock and the observer must outlive the
+     * reader. */
     KnowledgeReader(boost::asio::io_context &context,
-                    const std::string &storeAddress,
+                    PlatformStore &store,
                     Duration applyTime,
                     const Clock &clock,
                     KnowledgeObserver &observer);
@@ -42,7 +43,7 @@
     void schedule(boost::asio::steady_timer &timer, bool succeeded, void (KnowledgeReader::*read)());
     void noteResult(const std::optional<Error> &error);
 
-    PlatformStore store_;
+    PlatformStore &store_;
     const Clock &clock_;
     KnowledgeObserver &observer_;
     Duration period_;
--- /dev/null
+++ b/main/relay/peer_exchange.cpp
@@ -0,0 +1,134 @@
+#include "main/relay/peer_exchange.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace GeraniumLever {
+
+namespace {
+
+constexpr std::chrono::seconds EntryRetryPause(1);
+/** After the node's own entry, so that nodes that start together find each other. */
+constexpr std::chrono::milliseconds FirstReadPause(900);
+/** The list changes only when nodes come and go, and those that come announce themselves by their reports. */
+constexpr std::chrono::seconds ReadPause(20);
+/** A report of a node that is not listed causes a read, but not more often than this. */
+constexpr std::chrono::seconds ShortestReadPause(2);
+
+} // namespace
+
+PeerExchange::PeerExchange(
+    boost::asio::io_context &context, PeerNode self, PlatformStore &store, const Clock &clock, RelaySystem &system)
+    : self_(std::move(self))
+    , store_(store)
+    , clock_(clock)
+    , system_(system)
+    , link_(context, [this](const std::string &from, const PeerReport &report) { received(from, report); })
+    , entryTimer_(context)
+    , readTimer_(context)
+    , reportTimer_(context)
+{
+}
+
+Result<Success> PeerExchange::start()
+{
+    if (self_.address.empty()) {
+        return Success {};
+    }
+    Result<Success> started = link_.start(self_.address);
+    if (!succeeded(started)) {
+        return started;
+    }
+    enter();
+    scheduleRead(FirstReadPause);
+    sendReports();
+    return started;
+}
+
+void PeerExchange::stop()
+{
+    stopped_ = true;
+    entryTimer_.cancel();
+    readTimer_.cancel();
+    reportTimer_.cancel();
+    if (!self_.address.empty()) {
+        store_.removeNode(self_.node, [](const Result<Success> &result) {
+            LOG_IF(WARNING, !succeeded(result)) << "event=node_entry_kept message=\"" << errorOf(result).message << '"';
+        });
+    }
+}
+
+void PeerExchange::enter()
+{
+    store_.writeNode(self_, [this](const Result<Success> &result) {
+        if (succeeded(result) || stopped_) {
+            return;
+        }
+        LOG(WARNING) << "event=node_entry_failed message=\"" << errorOf(result).message << '"';
+        entryTimer_.expires_after(EntryRetryPause);
+        entryTimer_.async_wait([this](const boost::system::error_code &cancelled) {
+            if (!cancelled && !stopped_) {
+                enter();
+            }
+        });
+    });
+}
+
+void PeerExchange::readNodes()
+{
+    lastRead_ = std::chrono::steady_clock::now();
+    store_.readNodes([this](const Result<std::vector<PeerNode>> &result) {
+        if (stopped_) {
+            return;
+        }
+        if (!succeeded(result)) {
+            scheduleRead(ShortestReadPause);
+            return;
+        }
+        const std::optional<std::size_t> before = system_.peers().nodeCount();
+        system_.learnNodes(valueOf(result));
+        if (before != system_.peers().nodeCount()) {
+            LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).size()
+                      << " targets=" << system_.peers().targets().size();
+        }
+        scheduleRead(ReadPause);
+    });
+}
+
+void PeerExchange::scheduleRead(std::chrono::steady_clock::duration pause)
+{
+    readTimer_.expires_after(pause);
+    readTimer_.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled && !stopped_) {
+            readNodes();
+        }
+    });
+}
+
+void PeerExchange::sendReports()
+{
+    for (const PeerNode &peer : system_.peers().targets()) {
+        link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
+    }
+    reportTimer_.expires_after(PeerReportPeriod);
+    reportTimer_.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled && !stopped_) {
+            sendReports();
+        }
+    });
+}
+
+void PeerExchange::received(const std::string &from, const PeerReport &report)
+{
+    const PeerNode *peer = system_.peers().nodeAt(from);
+    if (peer != nullptr && peer->node == report.node) {
+        system_.peerReported(report, clock_.now());
+        return;
+    }
+    if (std::chrono::steady_clock::now() - lastRead_ > ShortestReadPause) {
+        readNodes();
+    }
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/main/relay/peer_exchange.h
@@ -0,0 +1,45 @@
+/** Exchange of reports with the other relays. */
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "drivers/peers/peers.h"
+#include "drivers/settings/settings.h"
+#include "platform/platform.h"
+
+namespace GeraniumLever {
+
+/** Enters the node into the store, finds the others there, and sends and takes reports. */
+class PeerExchange
+{
+public:
+    /** The store, the clock and the system must outlive the exchange. */
+    PeerExchange(
+        boost::asio::io_context &context, PeerNode self, PlatformStore &store, const Clock &clock, RelaySystem &system);
+
+    /** Does nothing if the node has no address for datagrams. */
+    Result<Success> start();
+
+    /** Takes the node's entry out of the store. */
+    void stop();
+
+private:
+    void enter();
+    void readNodes();
+    void scheduleRead(std::chrono::steady_clock::duration pause);
+    void sendReports();
+    void received(const std::string &from, const PeerReport &report);
+
+    PeerNode self_;
+    PlatformStore &store_;
+    const Clock &clock_;
+    RelaySystem &system_;
+    PeerLink link_;
+    boost::asio::steady_timer entryTimer_;
+    boost::asio::steady_timer readTimer_;
+    boost::asio::steady_timer reportTimer_;
+    std::chrono::steady_clock::time_point lastRead_;
+    bool stopped_ = false;
+};
+
+} // namespace GeraniumLever
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -9,6 +9,7 @@
 
 #include "drivers/http/http.h"
 #include "main/relay/knowledge_reader.h"
+#include "main/relay/peer_exchange.h"
 #include "main/relay/relay_metrics.h"
 
 namespace GeraniumLever {
@@ -23,6 +24,8 @@
 constexpr std::chrono::milliseconds AcceptingAfterStop(2600);
 /** Part of the stop limit after which the process ends whatever is still in flight. */
 constexpr double UsedShareOfStopLimit = 0.86;
+/** An answer of the store takes milliseconds; a slow store answers within this time. */
+constexpr Duration StoreTimeout = std::chrono::milliseconds(800);
 constexpr unsigned HttpUnavailable = 503;
 constexpr unsigned HttpNotFound = 404;
 
@@ -35,6 +38,7 @@
 RelaySystemSettings systemSettingsOf(const RelaySettings &settings, std::uint64_t origin)
 {
     RelaySystemSettings result;
+    result.node = settings.node;
     result.dataCenter = settings.dataCenter;
     result.repeats = { settings.repeatRatio, settings.repeatSlack, settings.repeatWindow };
     result.knowledge.keyLifetime = settings.keyLifetime;
@@ -69,7 +73,9 @@
         , system(systemSettingsOf(settings, origin))
         , callers(RelayServerSettings { settings.callerAddress, origin }, context, dialect, *this)
         , upstreams(context, dialect, *this)
-        , reader(context, settings.storeAddress, settings.applyTime, clock, *this)
+        , store(context, settings.storeAddress, StoreTimeout)
+        , reader(context, store, settings.applyTime, clock, *this)
+        , peers(context, { settings.node, settings.dataCenter, settings.peerAddress }, store, clock, system)
         , status(OperatorServerSettings { settings.statusAddress, {} },
                  context,
                  [this](const OperatorRequest &request, OperatorServer::Responder respond) {
@@ -337,6 +343,7 @@
         }
         stopping = true;
         LOG(INFO) << "event=stopping in_flight=" << system.inFlight();
+        peers.stop();
         callers.announceClose();
         stopAt = std::chrono::steady_clock::now() + AcceptingAfterStop;
         const std::chrono::duration<double> limit = settings.stopLimit * UsedShareOfStopLimit;
@@ -376,7 +383,9 @@
     RelaySystem system;
     RelayServer callers;
     RelayClient upstreams;
+    PlatformStore store;
     KnowledgeReader reader;
+    PeerExchange peers;
     OperatorServer status;
     RelayMetrics metrics;
     boost::asio::steady_timer busyTimer;
@@ -411,6 +420,9 @@
     if (succeeded(started)) {
         started = state_->callers.start();
     }
+    if (succeeded(started)) {
+        started = state_->peers.start();
+    }
     if (!succeeded(started)) {
         return started;
     }
--- a/servers/relay/engine_sharing.cpp
+++ b/servers/relay/engine_sharing.cpp
@@ -46,14 +46,14 @@
     demand.updatedAt = now;
 }
 
-std::vector<UpstreamName> EngineSharing::enginesFor(const PoolName &pool,
-                                                    Duration pauseTarget,
-                                                    std::vector<UpstreamName> engines,
-                                                    TimePoint now)
+EnginePart EngineSharing::enginesFor(const PoolName &pool,
+                                     Duration pauseTarget,
+                                     std::vector<UpstreamName> engines,
+                                     TimePoint now)
 {
     std::erase_if(demands_, [now](const auto &entry) { return entry.second.requestsAt(now) < FewestRequests; });
     if (engines.size() < 2 || demands_.empty()) {
-        return engines;
+        return { std::move(engines), true };
     }
     const Duration looseFrom = demands_.begin()->first * LooseFactor;
     double tight = 0.0;
@@ -62,7 +62,7 @@
         (target >= looseFrom ? loose : tight) += weightOf(target, demand, now);
     }
     if (loose == 0.0) {
-        return engines;
+        return { std::move(engines), true };
     }
     const std::uint64_t seed = XXH64(pool.text().data(), pool.text().size(), 0);
     std::sort(engines.begin(), engines.end(), [seed](const UpstreamName &left, const UpstreamName &right) {
@@ -77,9 +77,9 @@
     const std::size_t count = std::clamp<std::size_t>(looseEngines_, 1, engines.size() - 1);
     const auto border = engines.begin() + static_cast<std::ptrdiff_t>(count);
     if (pauseTarget >= looseFrom) {
-        return std::vector<UpstreamName>(engines.begin(), border);
+        return { std::vector<UpstreamName>(engines.begin(), border), false };
     }
-    return std::vector<UpstreamName>(border, engines.end());
+    return { std::vector<UpstreamName>(border, engines.end()), true };
 }
 
 Duration pauseTargetOf(const Route &route)
--- a/servers/relay/engine_sharing.h
+++ b/servers/relay/engine_sharing.h
@@ -10,6 +10,15 @@
 
 namespace GeraniumLever {
 
+/** Engines for a kind of request. */
+struct EnginePart
+{
+    std::vector<UpstreamName> engines;
+    /** True if such requests may go to the other engines when these have no room: they bear the shortest pauses, and do
+     *  not hold up the others. */
+    bool mayUseOthers = true;
+};
+
 /** Answers a rush of long prompts: an engine reads a prompt between the answers of all requests beside it, which then
  *  pause. Requests whose target for pauses is a multiple of the shortest one get engines of their own, in proportion to
  *  their prompt tokens a second divided by the square root of the pause that they bear. All nodes order the engines
@@ -20,12 +29,9 @@
     /** pauseTarget: of the request's route. */
     void noteRequest(Duration pauseTarget, std::uint32_t promptTokens, TimePoint now);
 
-    /** The engines of the pool that a request with this target should go to; all of them while every request bears
-     * about the same. */
-    std::vector<UpstreamName> enginesFor(const PoolName &pool,
-                                         Duration pauseTarget,
-                                         std::vector<UpstreamName> engines,
-                                         TimePoint now);
+    /** The part of the given engines that a request with this target should go to; all of them while every request
+     *  bears about the same. */
+    EnginePart enginesFor(const PoolName &pool, Duration pauseTarget, std::vector<UpstreamName> engines, TimePoint now);
 
 private:
     struct Demand
--- a/servers/relay/relay_budget.cpp
+++ b/servers/relay/relay_budget.cpp
@@ -6,11 +6,18 @@
 
 /** Part of the ratio that is used; the rest covers requests that are counted in another window than their repeat. */
 constexpr double RatioUsed = 0.75;
-/** Nodes for which the slack suffices if each uses its part at the same time. */
-constexpr double NodesOfSlack = 24.0;
+/** The slack is divided among the known nodes and so many more, for those that are added. */
+constexpr double SpareNodes = 4.0;
+constexpr double SpareShareOfNodes = 0.4;
 
 } // namespace
 
+void RelayBudget::setNodes(const std::optional<std::size_t> &nodes)
+{
+    const double known = static_cast<double>(nodes.value_or(0));
+    slackShare_ = nodes.has_value() ? 1.0 / (known * (1.0 + SpareShareOfNodes) + SpareNodes) : 1.0 / UnknownNodes;
+}
+
 void RelayBudget::noteRequest(TimePoint now)
 {
     forgetOld(now);
@@ -30,7 +37,7 @@
 {
     forgetOld(now);
     const double earned = RatioUsed * allowance_.ratio * static_cast<double>(requests_.size());
-    return earned + allowance_.slack / NodesOfSlack - static_cast<double>(repeats_.size());
+    return earned + allowance_.slack * slackShare_ - static_cast<double>(repeats_.size());
 }
 
 void RelayBudget::forgetOld(TimePoint now)
--- a/servers/relay/relay_budget.h
+++ b/servers/relay/relay_budget.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "core/core.h"
 
@@ -20,13 +21,16 @@
     auto operator<=>(const RepeatAllowance &) const = default;
 };
 
-/** One node's part of the allowance. Each node pays from the requests that it took itself, and from a fixed part of the
- *  slack, so that the sum holds whatever nodes are added, lost or cut off. */
+/** One node's part of the allowance. Each node pays from the requests that it took itself, and from its part of the
+ * slack, divided among more nodes than are known, so that the sum holds whatever nodes are added, lost or cut off. */
 class RelayBudget
 {
 public:
     explicit RelayBudget(RepeatAllowance allowance) : allowance_(allowance) { }
 
+    /** Nodes among which the slack is divided, if it is known. */
+    void setNodes(const std::optional<std::size_t> &nodes);
+
     void setAllowance(const RepeatAllowance &allowance) { allowance_ = allowance; }
 
     void noteRequest(TimePoint now);
@@ -38,9 +42,13 @@
     double available(TimePoint now);
 
 private:
+    /** Nodes that are assumed as long as none are known. */
+    static constexpr double UnknownNodes = 100.0;
+
     void forgetOld(TimePoint now);
 
     RepeatAllowance allowance_;
+    double slackShare_ = 1.0 / UnknownNodes;
     std::deque<TimePoint> requests_;
     std::deque<TimePoint> repeats_;
 };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -16,6 +16,8 @@
 constexpr double AffinitySlack = 2.0;
 /** Requests sent beyond the seats, since what is believed of a load is older than the load. */
 constexpr double OverSeats = 1.2;
+/** Share of its seats up to which an engine counts as idle, so that prompt parts alone decide. */
+constexpr double IdleSeatShare = 0.25;
 /** Part of an engine's memory that is filled; the rest is for answers that grow and for what is believed too late. */
 constexpr double UsableTokenShare = 0.8;
 /** Requests by which an upstream in another data centre must be better. */
@@ -23,11 +25,21 @@
 /** Requests that count against an upstream that failed every attempt lately. */
 constexpr double FailurePenalty = 8.0;
 
-/** Nodes among which the connections of an upstream are divided; a node that is busier than others needs more than its
- *  share, and upstreams accept fewer while their queue is long. */
-constexpr std::uint32_t NodesPerUpstream = 12;
+/** Nodes among which the connections of an upstream are divided at least, and margin over those that are known. */
+constexpr double FewestSharingNodes = 12.0;
+constexpr double SharingMargin = 1.3;
 constexpr std::uint32_t FewestConnections = 2;
 
+/** Connections to one upstream that this node may use of all that it accepts; 0 stands for no limit. */
+std::uint32_t connectionShare(std::uint32_t maxConnections, const std::optional<std::size_t> &nodes)
+{
+    if (maxConnections == 0) {
+        return std::numeric_limits<std::uint32_t>::max();
+    }
+    const double sharing = std::max(FewestSharingNodes, SharingMargin * static_cast<double>(nodes.value_or(0)));
+    return std::max(FewestConnections, static_cast<std::uint32_t>(maxConnections / sharing));
+}
+
 /** Requests that count against an engine whose answers pause for the whole pause that the request bears. */
 constexpr double PacePenalty = 10.0;
 
@@ -54,6 +66,7 @@
     /** Load with what speaks against the upstream. */
     double cost = 0.0;
     bool suspect = false;
+    bool hasRoom = true;
 };
 
 void RelayPlacement::follow(const UpstreamDirectory &directory, const DirectoryChanges &changes)
@@ -72,9 +85,7 @@
 {
     std::vector<Candidate> result;
     bool anySound = false;
-    const std::uint32_t connections = question.maxConnections == 0
-        ? std::numeric_limits<std::uint32_t>::max()
-        : std::max(FewestConnections, question.maxConnections / NodesPerUpstream);
+    const std::uint32_t connections = connectionShare(question.maxConnections, peers_.nodeCount());
     for (const auto &[name, entry] : directory.entries()) {
         if (entry.leaving || entry.pool != question.pool || question.excluded.count(name) > 0) {
             continue;
@@ -82,26 +93,25 @@
         Candidate candidate;
         candidate.entry = &entry;
         const UpstreamLoad *known = find(name);
+        candidate.load = requestsAt(name, known, now);
+        candidate.cost = candidate.load;
         if (known != nullptr) {
-            candidate.load = known->requests(now);
             candidate.suspect = known->suspect(now) || known->full(now);
-            candidate.cost = candidate.load + known->failureShare() * FailurePenalty;
+            candidate.cost += known->failureShare() * FailurePenalty;
             if (question.engine) {
                 const double pace = std::chrono::duration<double>(known->gap(now)) / question.pauseTarget;
                 candidate.cost += pace * PacePenalty;
             }
         }
         candidate.cost += entry.dataCenter == dataCenter_ || question.engine ? 0.0 : RemotePenalty;
-        if (known != nullptr && known->own() >= connections) {
-            continue;
-        }
-        const double tokens = known == nullptr ? 0.0 : known->tokens(now);
+        candidate.hasRoom = known == nullptr || known->own() < connections;
+        const double tokens = known == nullptr ? 0.0 : known->tokens(candidate.load);
         const double limit = static_cast<double>(question.engineTokens) * UsableTokenShare;
         if (limit > 0.0 && tokens > 0.0 && tokens + static_cast<double>(question.prompt.promptTokens) > limit) {
-            continue;
+            candidate.hasRoom = false;
         }
         if (candidate.load >= static_cast<double>(entry.seats) * OverSeats) {
-            continue;
+            candidate.hasRoom = false;
         }
         anySound = anySound || !candidate.suspect;
         result.push_back(candidate);
@@ -120,8 +130,9 @@
     if (open.empty()) {
         return std::nullopt;
     }
-    if (question.engine) {
-        keepMeant(open, directory, question, now);
+    keepRoomy(open, question, now);
+    if (open.empty()) {
+        return std::nullopt;
     }
     double sum = 0.0;
     for (const Candidate &candidate : open) {
@@ -134,7 +145,8 @@
     if (key != 0) {
         for (const Candidate &candidate : open) {
             const std::uint64_t score = rendezvousScore(key, candidate.entry->name);
-            if (candidate.cost <= bound && (best == nullptr || score > bestScore)) {
+            const double idle = static_cast<double>(candidate.entry->seats) * IdleSeatShare;
+            if (candidate.cost <= std::max(bound, idle) && (best == nullptr || score > bestScore)) {
                 best = &candidate;
                 bestScore = score;
             }
@@ -148,23 +160,22 @@
     return Placement { best->entry->name, best->entry->address, best->load, byPrefix };
 }
 
-void RelayPlacement::keepMeant(std::vector<Candidate> &open,
-                               const UpstreamDirectory &directory,
-                               const PlacementQuestion &question,
-                               TimePoint now)
+void RelayPlacement::keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now)
 {
-    std::vector<UpstreamName> engines;
-    for (const auto &[name, entry] : directory.entries()) {
-        if (!entry.leaving && entry.pool == question.pool) {
-            engines.push_back(name);
+    EnginePart part;
+    if (question.engine) {
+        std::vector<UpstreamName> engines;
+        for (const Candidate &candidate : open) {
+            engines.push_back(candidate.entry->name);
         }
+        part = sharing_[question.pool].enginesFor(question.pool, question.pauseTarget, std::move(engines), now);
     }
-    const std::vector<UpstreamName> meant =
-        sharing_[question.pool].enginesFor(question.pool, question.pauseTarget, std::move(engines), now);
-    const auto isMeant = [&meant](const Candidate &candidate) {
-        return std::find(meant.begin(), meant.end(), candidate.entry->name) != meant.end();
+    std::erase_if(open, [](const Candidate &candidate) { return !candidate.hasRoom; });
+    const auto isMeant = [&part](const Candidate &candidate) {
+        return std::find(part.engines.begin(), part.engines.end(), candidate.entry->name) != part.engines.end();
     };
-    if (std::any_of(open.begin(), open.end(), isMeant)) {
+    const bool meantHaveRoom = std::any_of(open.begin(), open.end(), isMeant);
+    if (meantHaveRoom || !part.mayUseOthers) {
         std::erase_if(open, [&isMeant](const Candidate &candidate) { return !isMeant(candidate); });
     }
 }
@@ -201,7 +212,7 @@
         }
         const UpstreamLoad *known = find(name);
         seats += static_cast<double>(entry.seats);
-        taken += known == nullptr ? 0.0 : known->requests(now);
+        taken += requestsAt(name, known, now);
     }
     if (seats == 0.0) {
         return std::nullopt;
@@ -209,6 +220,24 @@
     return taken / seats;
 }
 
+double RelayPlacement::requestsAt(const UpstreamName &name, const UpstreamLoad *known, TimePoint now) const
+{
+    const double own = known == nullptr ? 0.0 : static_cast<double>(known->own());
+    const double stated = known == nullptr ? 0.0 : known->statedOthers(now);
+    return own + std::max(stated, peers_.requestsAt(name).value_or(0.0));
+}
+
+std::vector<UpstreamCount> RelayPlacement::ownCounts() const
+{
+    std::vector<UpstreamCount> counts;
+    for (const auto &[name, load] : loads_) {
+        if (load.own() != 0) {
+            counts.push_back({ peerHashOf(name), load.own() });
+        }
+    }
+    return counts;
+}
+
 const UpstreamLoad *RelayPlacement::find(const UpstreamName &name) const
 {
     const auto found = loads_.find(name);
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "servers/relay/engine_sharing.h"
+#include "servers/relay/peer_view.h"
 #include "servers/relay/upstream_load.h"
 #include "servers/routing/routing.h"
 
@@ -43,7 +44,10 @@
 class RelayPlacement
 {
 public:
-    explicit RelayPlacement(DataCenterName dataCenter) : dataCenter_(std::move(dataCenter)) { }
+    /** peers: must outlive the placement. */
+    RelayPlacement(DataCenterName dataCenter, const PeerView &peers) : dataCenter_(std::move(dataCenter)), peers_(peers)
+    {
+    }
 
     /** Drops what is known of upstreams that are gone or have started again. */
     void follow(const UpstreamDirectory &directory, const DirectoryChanges &changes);
@@ -62,6 +66,9 @@
     /** Share of the pool's seats believed to be taken, over upstreams that take work; absent if there is none. */
     std::optional<double> fillOf(const UpstreamDirectory &directory, const PoolName &pool, TimePoint now) const;
 
+    /** This node's requests at each upstream that has any. */
+    std::vector<UpstreamCount> ownCounts() const;
+
     /** What is known of an upstream; created on first use. */
     UpstreamLoad &load(const UpstreamName &name) { return loads_[name]; }
 
@@ -73,13 +80,14 @@
                                       TimePoint now) const;
     const UpstreamLoad *find(const UpstreamName &name) const;
 
-    /** Leaves the engines that are meant for such requests, unless none of them is open. */
-    void keepMeant(std::vector<Candidate> &open,
-                   const UpstreamDirectory &directory,
-                   const PlacementQuestion &question,
-                   TimePoint now);
+    /** Leaves the upstreams with room that are meant for such requests, or any with room if the request may go there.
+     */
+    void keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now);
+
+    double requestsAt(const UpstreamName &name, const UpstreamLoad *known, TimePoint now) const;
 
     DataCenterName dataCenter_;
+    const PeerView &peers_;
     std::map<PoolName, EngineSharing> sharing_;
     std::map<UpstreamName, UpstreamLoad> loads_;
 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -67,7 +67,8 @@
 
 RelaySystem::RelaySystem(RelaySystemSettings settings)
     : settings_(std::move(settings))
-    , placement_(settings_.dataCenter)
+    , peers_(settings_.node, settings_.dataCenter)
+    , placement_(settings_.dataCenter, peers_)
     , returnTime_(settings_.seed)
     , random_(settings_.seed + 1)
 {
@@ -122,6 +123,37 @@
     }
 }
 
+void RelaySystem::learnNodes(const std::vector<PeerNode> &nodes)
+{
+    peers_.learnNodes(nodes);
+    for (auto &[pool, budget] : budgets_) {
+        budget.setNodes(peers_.nodeCount());
+    }
+}
+
+void RelaySystem::peerReported(const PeerReport &report, TimePoint now)
+{
+    if (!peers_.take(report, now) || report.sentAfter == TimePoint() || report.sentAfter > now) {
+        return;
+    }
+    // The peer knew this when it sent the report, which was after sentAfter.
+    configuration_.confirm(report.configuration, report.sentAfter - report.configurationAge);
+}
+
+PeerReport RelaySystem::reportFor(const NodeName &peer, TimePoint now)
+{
+    PeerReport report;
+    report.node = settings_.node;
+    report.incarnation = settings_.origin;
+    report.sequence = ++lastReport_;
+    report.configuration = configuration_.version();
+    report.configurationAge = configuration_.age(now).value_or(Duration(0));
+    report.sentAt = now;
+    report.sentAfter = peers_.lastSentAt(peer);
+    report.counts = placement_.ownCounts();
+    return report;
+}
+
 // Requests.
 
 void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
@@ -446,6 +478,7 @@
 void RelaySystem::tick(TimePoint now, RelayCommands &commands)
 {
     noteChanges(directory_.expire(now), commands);
+    peers_.expire(now);
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
         const bool expired = now >= row.deadline;
@@ -506,7 +539,11 @@
 
 RelayBudget &RelaySystem::budgetOf(const PoolName &pool)
 {
-    return budgets_.try_emplace(pool, settings_.repeats).first->second;
+    const auto [budget, isNew] = budgets_.try_emplace(pool, settings_.repeats);
+    if (isNew) {
+        budget->second.setNodes(peers_.nodeCount());
+    }
+    return budget->second;
 }
 
 void RelaySystem::setLimits(const RepeatAllowance &repeats, const KnowledgeLimits &knowledge)
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -15,6 +15,7 @@
 
 struct RelaySystemSettings
 {
+    NodeName node;
     DataCenterName dataCenter;
     RepeatAllowance repeats;
     KnowledgeLimits knowledge;
@@ -38,6 +39,17 @@
 
     void registryFailed() { directory_.readFailed(); }
 
+    /** Takes the whole list of relays. */
+    void learnNodes(const std::vector<PeerNode> &nodes);
+
+    /** Takes the report of another relay. */
+    void peerReported(const PeerReport &report, TimePoint now);
+
+    /** What this relay tells another. */
+    PeerReport reportFor(const NodeName &peer, TimePoint now);
+
+    const PeerView &peers() const { return peers_; }
+
     void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayHead &head, TimePoint now, RelayCommands &commands);
@@ -89,6 +101,7 @@
     RelaySystemSettings settings_;
     ConfigurationKeeper configuration_;
     UpstreamDirectory directory_;
+    PeerView peers_;
     RelayPlacement placement_;
     ReturnTime returnTime_;
     RandomSource random_;
@@ -98,6 +111,7 @@
     std::map<PoolName, RelayBudget> budgets_;
     std::vector<RelayMeasured> measured_;
     std::uint64_t lastAttempt_ = 0;
+    std::uint64_t lastReport_ = 0;
 };
 
 } // namespace GeraniumLever
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -63,9 +63,9 @@
     suspectUntil_ = now + std::min(pause, LongestSuspicion);
 }
 
-double UpstreamLoad::tokens(TimePoint now) const
+double UpstreamLoad::tokens(double requests) const
 {
-    const double others = std::max(0.0, requests(now) - static_cast<double>(own_));
+    const double others = std::max(0.0, requests - static_cast<double>(own_));
     return static_cast<double>(ownTokens_) + others * meanTokens_;
 }
 
@@ -118,11 +118,10 @@
     fullUntil_ = now + FullPause;
 }
 
-double UpstreamLoad::requests(TimePoint now) const
+double UpstreamLoad::statedOthers(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - statedAt_).count();
-    const double others = statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
-    return others + static_cast<double>(own_);
+    return statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
 }
 
 } // namespace GeraniumLever
--- a/servers/routing/configuration_keeper.cpp
+++ b/servers/routing/configuration_keeper.cpp
@@ -19,6 +19,15 @@
     return false;
 }
 
+bool ConfigurationKeeper::confirm(ConfigurationVersion confirmed, TimePoint asOf)
+{
+    if (table_ == nullptr || confirmed != version()) {
+        return false;
+    }
+    knownAsOf_ = std::max(knownAsOf_, asOf);
+    return true;
+}
+
 std::optional<Duration> ConfigurationKeeper::age(TimePoint now) const
 {
     if (table_ == nullptr) {
--- a/servers/routing/configuration_keeper.h
+++ b/servers/routing/configuration_keeper.h
@@ -15,6 +15,9 @@
      *  gave it. Returns true if it is newer than the one in use, which it then replaces. */
     bool learn(const SiteConfigurationPtr &configuration, TimePoint asOf);
 
+    /** Notes that the version was the newest one at some moment not before asOf; true if it is the one in use. */
+    bool confirm(ConfigurationVersion version, TimePoint asOf);
+
     /** The table in use; nullptr before the first configuration. */
     const RouteTablePtr &table() const { return table_; }
 
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -85,6 +85,11 @@
 
 void RelayFixture::learn()
 {
+    std::vector<PeerNode> nodes;
+    for (int number = 0; number < 9; ++number) {
+        nodes.push_back({ NodeName("node-" + std::to_string(number)), DataCenterName("dc"), "127.0.0.1:1" });
+    }
+    system_.learnNodes(nodes);
     system_.learnConfiguration(std::make_shared<const SiteConfiguration>(configuration_), clock_.now(), commands_);
     system_.learnUpstreams(upstreams_, clock_.now(), clock_.now(), commands_);
 }
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -34,6 +34,33 @@
     EXPECT_EQ(httpStatusFor(refusals(unknown)[0].error.code), 503U);
 }
 
+TEST_F(RelaySystemTest, APeersKnowledgeIsDatedFromTheMomentThatItSurelyFollowed)
+{
+    learn();
+    advance(seconds(4));
+    const TimePoint echoed = clock_.now();
+    PeerReport report;
+    report.node = NodeName("node-3");
+    report.incarnation = 1;
+    report.sequence = 1;
+    report.configuration = ConfigurationVersion(1);
+    report.configurationAge = seconds(1);
+    report.sentAfter = echoed;
+    advance(seconds(1));
+    system_.peerReported(report, clock_.now());
+    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2));
+    report.sequence = 2;
+    report.configuration = ConfigurationVersion(2);
+    report.sentAfter = clock_.now();
+    system_.peerReported(report, clock_.now());
+    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2)) << "another version proves nothing";
+    report.sequence = 3;
+    report.configuration = ConfigurationVersion(1);
+    report.sentAfter = TimePoint();
+    system_.peerReported(report, clock_.now());
+    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2)) << "without an echo its time is unknown";
+}
+
 TEST_F(RelaySystemTest, OpenRoutesNeedNoFreshKnowledge)
 {
     configuration_.routes[2].open = true;
