--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/** Counts that one report holds at most, so that a datagram stays small. */
-constexpr std::size_t MostCounts = 1000;
-
 TimePoint timeOf(std::int64_t microseconds)
 {
     return TimePoint(Duration(microseconds));
@@ -29,9 +26,6 @@
     report.configurationAge = Duration(reader.getConfigurationAge());
     report.sentAt = timeOf(reader.getSentAt());
     report.sentAfter = timeOf(reader.getSentAfter());
-    for (const PeerWire::UpstreamCount::Reader count : reader.getCounts()) {
-        report.counts.push_back({ count.getUpstream(), count.getRequests() });
-    }
     return report;
 }
 
@@ -48,12 +42,6 @@
     builder.setConfigurationAge(report.configurationAge.count());
     builder.setSentAt(report.sentAt.time_since_epoch().count());
     builder.setSentAfter(report.sentAfter.time_since_epoch().count());
-    const std::size_t size = std::min(report.counts.size(), MostCounts);
-    capnp::List<PeerWire::UpstreamCount>::Builder counts = builder.initCounts(static_cast<unsigned>(size));
-    for (std::size_t index = 0; index < size; ++index) {
-        counts[static_cast<unsigned>(index)].setUpstream(report.counts[index].upstream);
-        counts[static_cast<unsigned>(index)].setRequests(report.counts[index].requests);
-    }
     const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
     const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
     return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -6,11 +6,6 @@
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("GeraniumLever::PeerWire");
 
-struct UpstreamCount {
-  upstream @0 :UInt32;
-  requests @1 :UInt32;
-}
-
 struct PeerReport {
   node @0 :Text;
   incarnation @1 :UInt64;
@@ -19,5 +14,4 @@
   configurationAge @4 :Int64;
   sentAt @5 :Int64;
   sentAfter @6 :Int64;
-  counts @7 :List(UpstreamCount);
 }
--- a/servers/relay/peer_view.cpp
+++ b/servers/relay/peer_view.cpp
@@ -1,24 +1,18 @@
 #include "servers/relay/peer_view.h"
 
 #include <algorithm>
-
-#include <xxhash.h>
+#include <set>
+#include <utility>
 
 namespace GeraniumLever {
 
 namespace {
 
-/** Up to this many nodes all exchange reports; beyond it those of one data centre, so that the work of a node does not
- *  grow with the whole fleet. */
-constexpr std::size_t MostNodesInOneGroup = 24;
+/** Reports go to the nodes at these distances in the order of names, on both sides, so that each is answered. */
+constexpr std::size_t Distances[] = { 1, 2, 4, 8 };
 
 } // namespace
 
-std::uint32_t peerHashOf(const UpstreamName &upstream)
-{
-    return XXH32(upstream.text().data(), upstream.text().size(), 0);
-}
-
 void PeerView::learnNodes(const std::vector<PeerNode> &nodes)
 {
     nodes_.clear();
@@ -37,31 +31,33 @@
     if (older) {
         return false;
     }
-    add(heard.counts, -1);
-    heard = { report.incarnation, report.sequence, report.sentAt, now, report.counts };
-    add(heard.counts, 1);
+    heard = { report.incarnation, report.sequence, report.sentAt, now };
     return true;
 }
 
 void PeerView::expire(TimePoint now)
 {
-    std::erase_if(heard_, [this, now](const auto &entry) {
-        if (now - entry.second.heardAt <= PeerTimeout) {
-            return false;
-        }
-        add(entry.second.counts, -1);
-        return true;
-    });
+    std::erase_if(heard_, [now](const auto &entry) { return now - entry.second.heardAt > PeerTimeout; });
 }
 
 std::vector<PeerNode> PeerView::targets() const
 {
-    const bool oneGroup = nodes_.size() <= MostNodesInOneGroup;
     std::vector<PeerNode> targets;
-    for (const auto &[name, node] : nodes_) {
-        if (name != self_ && (oneGroup || node.dataCenter == dataCenter_)) {
-            targets.push_back(node);
-        }
+    const auto self = nodes_.find(self_);
+    if (self == nodes_.end()) {
+        return targets;
+    }
+    const std::vector<std::pair<NodeName, PeerNode>> ring(nodes_.begin(), nodes_.end());
+    const std::size_t own = static_cast<std::size_t>(std::distance(nodes_.begin(), self));
+    std::set<std::size_t> chosen;
+    for (const std::size_t distance : Distances) {
+        const std::size_t step = distance % ring.size();
+        chosen.insert((own + step) % ring.size());
+        chosen.insert((own + ring.size() - step) % ring.size());
+    }
+    chosen.erase(own);
+    for (const std::size_t index : chosen) {
+        targets.push_back(ring[index].second);
     }
     return targets;
 }
@@ -79,37 +75,12 @@
     return found == heard_.end() ? TimePoint() : found->second.sentAt;
 }
 
-std::optional<double> PeerView::requestsAt(const UpstreamName &upstream) const
-{
-    if (heard_.empty()) {
-        return std::nullopt;
-    }
-    const auto found = sums_.find(peerHashOf(upstream));
-    if (found == sums_.end()) {
-        return 0.0;
-    }
-    const double others = static_cast<double>(std::max<std::size_t>(nodes_.size(), 1) - 1);
-    const double scale = std::max(1.0, others / static_cast<double>(heard_.size()));
-    return static_cast<double>(found->second) * scale;
-}
-
 std::optional<std::size_t> PeerView::nodeCount() const
 {
     if (nodes_.empty()) {
         return std::nullopt;
     }
-    return std::max(nodes_.size(), heard_.size() + 1);
-}
-
-void PeerView::add(const std::vector<UpstreamCount> &counts, int sign)
-{
-    for (const UpstreamCount &count : counts) {
-        std::int64_t &sum = sums_[count.upstream];
-        sum += sign * static_cast<std::int64_t>(count.requests);
-        if (sum == 0) {
-            sums_.erase(count.upstream);
-        }
-    }
+    return nodes_.size();
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/peer_view.h
+++ b/servers/relay/peer_view.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "servers/routing/routing.h"
@@ -23,17 +22,7 @@
     auto operator<=>(const PeerNode &) const = default;
 };
 
-/** Requests of one relay at one upstream. */
-struct UpstreamCount
-{
-    /** Hash of the upstream's name. */
-    std::uint32_t upstream = 0;
-    std::uint32_t requests = 0;
-
-    auto operator<=>(const UpstreamCount &) const = default;
-};
-
-/** What a relay tells another, about twice a second. Lost reports are not sent again. */
+/** What a relay tells another, once a second. Lost reports are not sent again. */
 struct PeerReport
 {
     NodeName node;
@@ -48,25 +37,20 @@
     /** The receiver's clock as of the newest of its reports that the sender had when it sent this one; default if it
      * had none. So the report was sent after that moment. */
     TimePoint sentAfter;
-    std::vector<UpstreamCount> counts;
-
     auto operator<=>(const PeerReport &) const = default;
 };
 
 /** Reports are sent at this period. */
-constexpr Duration PeerReportPeriod = std::chrono::milliseconds(500);
+constexpr Duration PeerReportPeriod = std::chrono::seconds(1);
 /** A peer that has not been heard of for so long counts for nothing. */
-constexpr Duration PeerTimeout = std::chrono::milliseconds(2500);
-
-/** Hash under which reports name an upstream. */
-std::uint32_t peerHashOf(const UpstreamName &upstream);
+constexpr Duration PeerTimeout = std::chrono::milliseconds(3500);
 
-/** Adds up what the peers report. Among many nodes only those of the own data centre exchange reports, and the others
- *  are taken to have as much to do. */
+/** Knows which relays there are, and exchanges reports with the nearest ones in the order of their names, so that the
+ *  messages of a node do not grow with the fleet. */
 class PeerView
 {
 public:
-    PeerView(NodeName self, DataCenterName dataCenter) : self_(std::move(self)), dataCenter_(std::move(dataCenter)) { }
+    explicit PeerView(NodeName self) : self_(std::move(self)) { }
 
     /** Takes the whole list of relays from the store. */
     void learnNodes(const std::vector<PeerNode> &nodes);
@@ -86,9 +70,6 @@
     /** Clock of the last report of a peer, to be sent back to it; default if there was none. */
     TimePoint lastSentAt(const NodeName &node) const;
 
-    /** Requests of other nodes at an upstream; nothing if no peer has been heard of lately. */
-    std::optional<double> requestsAt(const UpstreamName &upstream) const;
-
     /** Listed nodes, this one included; nothing before the first list. */
     std::optional<std::size_t> nodeCount() const;
 
@@ -102,16 +83,11 @@
         std::uint64_t sequence = 0;
         TimePoint sentAt;
         TimePoint heardAt;
-        std::vector<UpstreamCount> counts;
     };
 
-    void add(const std::vector<UpstreamCount> &counts, int sign);
-
     NodeName self_;
-    DataCenterName dataCenter_;
     std::map<NodeName, PeerNode> nodes_;
     std::map<NodeName, Heard> heard_;
-    std::unordered_map<std::uint32_t, std::int64_t> sums_;
 };
 
 } // namespace GeraniumLever
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -93,7 +93,7 @@
         Candidate candidate;
         candidate.entry = &entry;
         const UpstreamLoad *known = find(name);
-        candidate.load = requestsAt(name, known, now);
+        candidate.load = known == nullptr ? 0.0 : known->requests(now);
         candidate.cost = candidate.load;
         if (known != nullptr) {
             candidate.suspect = known->suspect(now) || known->full(now);
@@ -212,7 +212,7 @@
         }
         const UpstreamLoad *known = find(name);
         seats += static_cast<double>(entry.seats);
-        taken += requestsAt(name, known, now);
+        taken += known == nullptr ? 0.0 : known->requests(now);
     }
     if (seats == 0.0) {
         return std::nullopt;
@@ -220,24 +220,6 @@
     return taken / seats;
 }
 
-double RelayPlacement::requestsAt(const UpstreamName &name, const UpstreamLoad *known, TimePoint now) const
-{
-    const double own = known == nullptr ? 0.0 : static_cast<double>(known->own());
-    const double stated = known == nullptr ? 0.0 : known->statedOthers(now);
-    return own + std::max(stated, peers_.requestsAt(name).value_or(0.0));
-}
-
-std::vector<UpstreamCount> RelayPlacement::ownCounts() const
-{
-    std::vector<UpstreamCount> counts;
-    for (const auto &[name, load] : loads_) {
-        if (load.own() != 0) {
-            counts.push_back({ peerHashOf(name), load.own() });
-        }
-    }
-    return counts;
-}
-
 const UpstreamLoad *RelayPlacement::find(const UpstreamName &name) const
 {
     const auto found = loads_.find(name);
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -66,9 +66,6 @@
     /** Share of the pool's seats believed to be taken, over upstreams that take work; absent if there is none. */
     std::optional<double> fillOf(const UpstreamDirectory &directory, const PoolName &pool, TimePoint now) const;
 
-    /** This node's requests at each upstream that has any. */
-    std::vector<UpstreamCount> ownCounts() const;
-
     /** What is known of an upstream; created on first use. */
     UpstreamLoad &load(const UpstreamName &name) { return loads_[name]; }
 
@@ -84,8 +81,6 @@
      */
     void keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now);
 
-    double requestsAt(const UpstreamName &name, const UpstreamLoad *known, TimePoint now) const;
-
     DataCenterName dataCenter_;
     const PeerView &peers_;
     std::map<PoolName, EngineSharing> sharing_;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -67,7 +67,7 @@
 
 RelaySystem::RelaySystem(RelaySystemSettings settings)
     : settings_(std::move(settings))
-    , peers_(settings_.node, settings_.dataCenter)
+    , peers_(settings_.node)
     , placement_(settings_.dataCenter, peers_)
     , returnTime_(settings_.seed)
     , random_(settings_.seed + 1)
@@ -150,7 +150,6 @@
     report.configurationAge = configuration_.age(now).value_or(Duration(0));
     report.sentAt = now;
     report.sentAfter = peers_.lastSentAt(peer);
-    report.counts = placement_.ownCounts();
     return report;
 }
 
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -118,10 +118,11 @@
     fullUntil_ = now + FullPause;
 }
 
-double UpstreamLoad::statedOthers(TimePoint now) const
+double UpstreamLoad::requests(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - statedAt_).count();
-    return statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
+    const double others = statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
+    return others + static_cast<double>(own_);
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -41,8 +41,8 @@
     /** The upstream had no room. */
     void noteFull(TimePoint now);
 
-    /** Requests of other nodes believed to be there by what the upstream stated last. */
-    double statedOthers(TimePoint now) const;
+    /** Requests believed to be at the upstream, from all nodes. */
+    double requests(TimePoint now) const;
 
     /** Prompt and answer tokens there, if other nodes' requests are as large as this node's. requests: of all nodes. */
     double tokens(double requests) const;
