--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -15,15 +15,15 @@
     State(RelayServerSettings serverSettings,
           boost::asio::io_context &ioContext,
           const RelayDialect &relayDialect,
-          RelayCallerObserver &callerObserver)
-        : settings(std::move(serverSettings)), context(ioContext), dialect_(relayDialect), observer_(callerObserver)
+          RelayCallerObserver &callers)
+        : settings(std::move(serverSettings)), context(ioContext), fieldDialect(relayDialect), callerObserver(callers)
     {
     }
 
-    const InputLimits &limits() const override { return limits_; }
-    const RelayDialect &dialect() const override { return dialect_; }
-    RelayCallerObserver &observer() override { return observer_; }
-    bool closing() const override { return closing_; }
+    const InputLimits &limits() const override { return inputLimits; }
+    const RelayDialect &dialect() const override { return fieldDialect; }
+    RelayCallerObserver &observer() override { return callerObserver; }
+    bool closing() const override { return announcesClose; }
     RequestId nextRequest() override { return RequestId(settings.origin, ++lastRequest); }
 
     bool reserveInput(std::size_t bytes) override
@@ -48,7 +48,7 @@
     void accepted(Socket socket)
     {
         if (connections.size() >= settings.maxConnections) {
-            observer_.inputRejected(Error { ResultCode::TooManyConnections, "too many connections are open", {} });
+            callerObserver.inputRejected(Error { ResultCode::TooManyConnections, "too many connections are open", {} });
             return;
         }
         const ConnectionPtr connection = std::make_shared<RelayConnection>(context, std::move(socket), *this);
@@ -65,15 +65,15 @@
 
     RelayServerSettings settings;
     boost::asio::io_context &context;
-    const RelayDialect &dialect_;
-    RelayCallerObserver &observer_;
-    InputLimits limits_;
+    const RelayDialect &fieldDialect;
+    RelayCallerObserver &callerObserver;
+    InputLimits inputLimits;
     std::shared_ptr<Listener> listener;
     std::set<ConnectionPtr> connections;
     std::unordered_map<RequestId, ConnectionPtr> requests;
     std::uint64_t lastRequest = 0;
     std::size_t heldInput = 0;
-    bool closing_ = false;
+    bool announcesClose = false;
 };
 
 RelayServer::RelayServer(RelayServerSettings settings,
@@ -110,7 +110,7 @@
 
 void RelayServer::setLimits(const InputLimits &limits)
 {
-    state_->limits_ = limits;
+    state_->inputLimits = limits;
 }
 
 void RelayServer::begin(const RequestId &request, const RelayAnswer &answer)
@@ -158,7 +158,7 @@
 
 void RelayServer::announceClose()
 {
-    state_->closing_ = true;
+    state_->announcesClose = true;
 }
 
 void RelayServer::drain()
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -209,7 +209,7 @@
         while (!waiting.empty()) {
             const RelayCommand command = std::move(waiting.front());
             waiting.pop_front();
-            std::visit([this](const auto &value) { run(value); }, command);
+            std::visit([this](const auto &value) { this->run(value); }, command);
         }
         busy = false;
         for (const RelayMeasured &measured : system.takeMeasured()) {
@@ -309,7 +309,7 @@
         callers.tick();
         perform([&](RelayCommands &commands) { system.tick(clock.now(), commands); });
         log.flush();
-        std::erase_if(calls, [this](const auto &entry) { return !system.knows(entry.first); });
+        std::erase_if(calls, [&logic = system](const auto &entry) { return !logic.knows(entry.first); });
         idleTimer.expires_after(IdleTickPeriod);
         idleTimer.async_wait([this](const boost::system::error_code &failure) {
             if (!failure) {
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -165,6 +165,7 @@
     EnginePart part;
     if (question.engine) {
         std::vector<UpstreamName> engines;
+        engines.reserve(open.size());
         for (const Candidate &candidate : open) {
             engines.push_back(candidate.entry->name);
         }
--- a/tests/drivers/relay/relay_client_test.cpp
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -83,7 +83,7 @@
         std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
     loop_.runUntil([settled]() { return std::chrono::steady_clock::now() >= settled; });
     ASSERT_EQ(listener_.connections().size(), 1U);
-    const bool arrived = listener_.connections()[0]->received() != "";
+    const bool arrived = !listener_.connections()[0]->received().empty();
     EXPECT_NE(arrived, !failures_.empty());
 }
 
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -85,8 +85,10 @@
 
 void RelayFixture::learn()
 {
+    constexpr int Nodes = 9;
     std::vector<PeerNode> nodes;
-    for (int number = 0; number < 9; ++number) {
+    nodes.reserve(Nodes);
+    for (int number = 0; number < Nodes; ++number) {
         nodes.push_back({ NodeName("node-" + std::to_string(number)), DataCenterName("dc"), "127.0.0.1:1" });
     }
     system_.learnNodes(nodes);
--- /dev/null
+++ b/tools/test_platform.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Builds and runs the tests of the relay: the port to the users' platform, and real processes against its stand-ins.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tests=(routing_test relay_test relay_driver_test peers_test log_test platform_test relay_node_test relay_process_test)
+cmake --preset release >/dev/null
+cmake --build --preset release -j "${GERANIUM_JOBS:-$(nproc)}" --target "${tests[@]}"
+ctest --preset release -j 4 -R "^($(IFS='|'; echo "${tests[*]}"))\$"
