--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -113,8 +113,8 @@
         commands.emplace_back(UpstreamCancel { row->running.attempt });
         seats_.end(*row, AttemptEnding::Cancelled, row->answer.tokens(), commands);
     }
-    finisher_.forget(
-        *row, row->begun ? Outcome::Failed : Outcome::NotRun, ResultCode::Ok, row->answer.tokens(), now, commands);
+    const Outcome outcome = row->begun ? Outcome::Failed : Outcome::NotRun;
+    finisher_.forget(*row, outcome, ResultCode::CallerGone, row->answer.tokens(), now, commands);
 }
 
 void IngressSystem::callerBacklogged(const CallerBacklog &event, Commands &commands)
--- a/servers/ingress/request_forwarder.cpp
+++ b/servers/ingress/request_forwarder.cpp
@@ -6,6 +6,7 @@
 
 #include "servers/ingress/dispatch_builder.h"
 #include "servers/ingress/request_reports.h"
+#include "servers/ingress/seat_messages.h"
 #include "servers/ingress/spill_chooser.h"
 
 namespace GeraniumLever {
@@ -61,11 +62,10 @@
     if (now - row.waitingSince < target) {
         return;
     }
-    const SlotCancel cancel { row.call.request, row.shard };
-    const NodeName scheduler = row.scheduler;
+    PeerSend cancel = makeCancel(row);
     row.waitingSince = now;
     if (forward(row, std::min(target, row.deadline - now), now, commands)) {
-        commands.emplace_back(PeerSend { scheduler, cancel });
+        commands.emplace_back(std::move(cancel));
     }
 }
 
--- a/servers/ingress/seat_client.cpp
+++ b/servers/ingress/seat_client.cpp
@@ -38,7 +38,7 @@
 
 void SeatClient::cancel(const RequestRow &row, Commands &commands)
 {
-    commands.emplace_back(PeerSend { row.scheduler, SlotCancel { row.call.request, row.shard } });
+    commands.emplace_back(makeCancel(row));
 }
 
 bool SeatClient::expects(const RequestRow &row, const NodeName &from) const
--- a/servers/ingress/seat_messages.cpp
+++ b/servers/ingress/seat_messages.cpp
@@ -62,4 +62,9 @@
     return end;
 }
 
+PeerSend makeCancel(const RequestRow &row)
+{
+    return PeerSend { row.scheduler, SlotCancel { row.call.request, row.shard } };
+}
+
 } // namespace GeraniumLever
--- a/servers/ingress/seat_messages.h
+++ b/servers/ingress/seat_messages.h
@@ -14,4 +14,7 @@
 
 AttemptEnd makeEnd(const RequestRow &row, AttemptEnding ending, std::uint32_t wastedTokens);
 
+/** Takes the request out of the queue of the scheduler that was asked last. */
+PeerSend makeCancel(const RequestRow &row);
+
 } // namespace GeraniumLever
--- a/tests/servers/relay/peer_view_test.cpp
+++ b/tests/servers/relay/peer_view_test.cpp
@@ -19,6 +19,7 @@
 std::vector<PeerNode> nodesUpTo(int count)
 {
     std::vector<PeerNode> nodes;
+    nodes.reserve(static_cast<std::size_t>(count));
     for (int number = 0; number < count; ++number) {
         nodes.push_back(nodeOf(number));
     }
