A short fault soak of real relay processes

Seeded faults from outside (stops, kills, freezes, a store that refuses, resets, is silent, slow or loses answers, servers that drain, a key that is revoked, broken answers) in overlapping series; whole and own answers, order of events, at most once, true refusals, revoked keys and recovery are checked from what callers and servers see.

--- /dev/null
+++ b/tests/system/relay_soak_test.cpp
@@ -0,0 +1,281 @@
+/**
+ * A seeded random run of relay processes under faults that come from outside them, checked by what callers and servers
+ * see. GERANIUM_SOAK_SEEDS sets the number of seeds, GERANIUM_SOAK_FIRST the first one.
+ */
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+
+#include "tests/system/relay_process_fixture.h"
+
+namespace GeraniumLever {
+namespace {
+
+using std::chrono::milliseconds;
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+constexpr int Nodes = 3;
+constexpr std::size_t MostOpenCalls = 40;
+constexpr milliseconds RunTime(5000);
+/** Longer than any deadline and time-out of the calls. */
+constexpr milliseconds CallLimit(6000);
+constexpr milliseconds KeyLifetime(1500);
+
+struct SoakCall
+{
+    std::string id;
+    std::string expected;
+    bool once = false;
+    bool withRevocableKey = false;
+    /** The caller leaves in the middle. */
+    bool leaves = false;
+    SteadyTime sentAt;
+    std::shared_ptr<RawConnection> connection;
+    unsigned status = 0;
+    bool over = false;
+};
+
+class RelaySoak : public RelayProcessFixture
+{
+protected:
+    void play(std::uint64_t seed)
+    {
+        random_ = std::make_unique<RandomSource>(seed);
+        keys_ = "\"key-one\",\"key-two\"";
+        ++version_;
+        writeConfiguration();
+        while (processes_.size() < Nodes) {
+            addProcess(static_cast<int>(KeyLifetime.count()));
+        }
+        const SteadyTime end = std::chrono::steady_clock::now() + RunTime;
+        SteadyTime nextFault = std::chrono::steady_clock::now() + milliseconds(300);
+        while (std::chrono::steady_clock::now() < end) {
+            startCall();
+            if (std::chrono::steady_clock::now() >= nextFault) {
+                startFault();
+                nextFault += milliseconds(200 + random_->below(500));
+            }
+            runFor(milliseconds(5 + random_->below(15)));
+            endFaults(std::chrono::steady_clock::now());
+            checkOpenCalls();
+        }
+        recover();
+        checkLedger();
+    }
+
+    void startCall()
+    {
+        if (openCalls() >= MostOpenCalls) {
+            return;
+        }
+        SoakCall call;
+        call.id = "s" + std::to_string(calls_.size());
+        call.withRevocableKey = random_->below(3) == 0;
+        call.leaves = random_->below(10) == 0;
+        call.once = random_->below(2) == 0;
+        const bool streamed = random_->below(2) == 0;
+        const std::string body = "body-" + call.id;
+        const std::string path =
+            (streamed ? (call.once ? "/stream/" : "/live/") : (call.once ? "/once/" : "/read/")) + call.id;
+        const std::string method = !streamed && !call.once ? "GET" : "POST";
+        const std::string sent = method == "GET" ? "" : body;
+        call.expected = streamed ? standInEvents(path, sent, 10) : standInBody(method, path, sent);
+        // The last three concern answers that are not streamed.
+        constexpr const char *Faults[] = { "cut=2", "reset", "fail", "full", "junk", "extra", "foreign", "unframed" };
+        constexpr std::size_t StreamFaults = 5;
+        std::string script = streamed ? "events=10 gap=15" : "gap=20";
+        if (random_->below(6) == 0) {
+            script += std::string(" first ") + Faults[random_->below(streamed ? StreamFaults : std::size(Faults))];
+        }
+        std::string text = request(call.id, method, path, sent, "Stand-In: " + script + "\r\n");
+        if (call.withRevocableKey) {
+            text.replace(text.find("key-one"), 7, "key-two");
+        }
+        try {
+            call.connection = connectTo(processes_[random_->below(Nodes)].callerAddress);
+        } catch (const std::exception &) {
+            return; // The node is down.
+        }
+        call.sentAt = std::chrono::steady_clock::now();
+        call.connection->send(text);
+        calls_.push_back(std::move(call));
+    }
+
+    void startFault()
+    {
+        RelayProcess &process = processes_[random_->below(Nodes)];
+        const SteadyTime until = std::chrono::steady_clock::now() + milliseconds(200 + random_->below(1000));
+        constexpr StoreFault StoreFaults[] = { StoreFault::Busy,   StoreFault::Many,        StoreFault::Reset,
+                                               StoreFault::Silent, StoreFault::LoseAnswers, StoreFault::Slow };
+        switch (random_->below(6)) {
+        case 0:
+            process.child->signal(SIGSTOP);
+            endings_.emplace(until, [&process]() { process.child->signal(SIGCONT); });
+            break;
+        case 1:
+            process.child->kill();
+            endings_.emplace(until, [this, &process]() { launch(process); });
+            break;
+        case 2:
+            process.child->signal(SIGTERM);
+            endings_.emplace(until + milliseconds(5200), [this, &process]() { relaunchIfEnded(process); });
+            break;
+        case 3:
+            store_.setFault(StoreFaults[random_->below(std::size(StoreFaults))]);
+            endings_.emplace(until, [this]() { store_.setFault(StoreFault::None); });
+            break;
+        case 4: {
+            const std::size_t index = random_->below(servers_.size());
+            registerServer(*servers_[index], names_[index], "draining");
+            endings_.emplace(until, [this, index]() { registerServer(*servers_[index], names_[index]); });
+            break;
+        }
+        default:
+            if (revokedAt_ == SteadyTime()) {
+                keys_ = "\"key-one\"";
+                ++version_;
+                writeConfiguration();
+                revokedAt_ = std::chrono::steady_clock::now();
+            }
+            break;
+        }
+    }
+
+    void relaunchIfEnded(RelayProcess &process)
+    {
+        if (process.child->exitCode().has_value()) {
+            launch(process);
+        }
+    }
+
+    void endFaults(SteadyTime now)
+    {
+        while (!endings_.empty() && endings_.begin()->first <= now) {
+            const std::function<void()> ending = endings_.begin()->second;
+            endings_.erase(endings_.begin());
+            ending();
+        }
+    }
+
+    std::size_t openCalls() const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(calls_.begin(), calls_.end(), [](const SoakCall &call) { return !call.over; }));
+    }
+
+    void checkOpenCalls()
+    {
+        for (SoakCall &call : calls_) {
+            if (!call.over) {
+                checkCall(call);
+            }
+        }
+    }
+
+    void checkCall(SoakCall &call)
+    {
+        std::string bytes = call.connection->received();
+        const ReceivedAnswer answer = takeAnswer(bytes);
+        if (call.leaves && !bytes.empty()) {
+            call.connection->close();
+            call.over = true;
+            return;
+        }
+        const bool late = std::chrono::steady_clock::now() - call.sentAt > CallLimit;
+        EXPECT_FALSE(late) << call.id << " has no end";
+        if (!answer.whole && !call.connection->ended() && !late) {
+            return;
+        }
+        call.over = true;
+        call.status = answer.status;
+        if (answer.status == 200) {
+            const bool prefix = call.expected.compare(0, answer.body.size(), answer.body) == 0;
+            EXPECT_TRUE(answer.whole ? answer.body == call.expected : prefix) << call.id << ": " << answer.body;
+            EXPECT_NE(answer.head.find("Request-Id: " + call.id + "\r\n"), std::string::npos) << call.id;
+        }
+        EXPECT_NE(answer.status, 404U) << call.id;
+        EXPECT_TRUE(answer.status != 401 || (call.withRevocableKey && revokedAt_ != SteadyTime())) << call.id;
+    }
+
+    /** Lifts all faults; every node must serve again, and every call must end. */
+    void recover()
+    {
+        while (!endings_.empty()) {
+            endFaults(endings_.begin()->first);
+        }
+        store_.setFault(StoreFault::None);
+        for (RelayProcess &process : processes_) {
+            EXPECT_TRUE(runUntil([&]() {
+                relaunchIfEnded(process);
+                return statusOf(process, "/readyz") == 200
+                    && askProcess(process, request("again-" + std::to_string(++again_), "GET", "/read/again")).status
+                    == 200;
+            })) << process.outputPath;
+        }
+        EXPECT_TRUE(runUntil([&]() {
+            checkOpenCalls();
+            return openCalls() == 0;
+        }));
+        EXPECT_TRUE(runUntil([&]() {
+            return std::all_of(
+                servers_.begin(), servers_.end(), [](const auto &server) { return server->running() == 0; });
+        })) << "a server still works for nobody";
+    }
+
+    void checkLedger()
+    {
+        for (const SoakCall &call : calls_) {
+            const std::vector<ServerRun> &runs = ledger_[call.id];
+            EXPECT_LE(runs.size(), call.once ? 1U : 2U) << call.id;
+            const bool saidNotRun =
+                call.status == 503 || call.status == 429 || call.status == 408 || call.status == 421;
+            EXPECT_TRUE(!saidNotRun || runs.empty()) << call.id << " was said not to have run";
+            EXPECT_TRUE(call.status != 401 || runs.empty()) << call.id;
+            const bool revoked = call.withRevocableKey && revokedAt_ != SteadyTime();
+            EXPECT_TRUE(!revoked || runs.empty() || call.sentAt <= revokedAt_ + KeyLifetime)
+                << call.id << " ran with a revoked key";
+            for (const ServerRun &run : runs) {
+                EXPECT_EQ(run.tenant, "team-one") << call.id;
+                EXPECT_EQ(run.unexpected, "") << call.id;
+            }
+        }
+    }
+
+    const std::vector<std::string> names_ { "p1", "p2", "e1", "e2" };
+    std::unique_ptr<RandomSource> random_;
+    std::deque<SoakCall> calls_;
+    std::multimap<SteadyTime, std::function<void()>> endings_;
+    SteadyTime revokedAt_;
+    std::uint64_t again_ = 0;
+};
+
+std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
+{
+    const char *text = std::getenv(variable);
+    return text == nullptr ? fallback : std::stoull(text);
+}
+
+class RelaySoakTest : public RelaySoak, public testing::WithParamInterface<std::uint64_t>
+{
+};
+
+TEST_P(RelaySoakTest, KeepsThePromises)
+{
+    play(GetParam());
+    int served = 0;
+    for (const SoakCall &call : calls_) {
+        served += call.status == 200 ? 1 : 0;
+    }
+    std::cout << "seed " << GetParam() << ": " << calls_.size() << " calls, " << served << " answered with 200\n";
+    EXPECT_GT(served, 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         RelaySoakTest,
+                         testing::Range<std::uint64_t>(numberFrom("GERANIUM_SOAK_FIRST", 1),
+                                                       numberFrom("GERANIUM_SOAK_FIRST", 1)
+                                                           + numberFrom("GERANIUM_SOAK_SEEDS", 2)));
+
+} // namespace
+} // namespace GeraniumLever
