--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "servers/relay/relay_records.h"
+
 namespace GeraniumLever {
 
 namespace {
@@ -25,23 +27,6 @@
 /** A resumable stream without an event for so many gap targets goes on elsewhere. */
 constexpr int SilenceGaps = 4;
 
-void addField(Decision &decision, std::string name, std::string value)
-{
-    decision.fields.emplace_back(std::move(name), std::move(value));
-}
-
-Decision decide(std::string kind, const RelayRow &row)
-{
-    Decision decision { std::move(kind), {} };
-    addField(decision, "request", row.request.callerId);
-    addField(decision, "route", row.route->name);
-    addField(decision, "team", row.team.text());
-    addField(decision, "tier", std::to_string(row.tier));
-    addField(decision, "pool", row.pool.text());
-    addField(decision, "config", std::to_string(row.table->configuration().version.value()));
-    return decision;
-}
-
 PlacementQuestion questionOf(const RelayRow &row)
 {
     PlacementQuestion question;
@@ -58,11 +43,6 @@
     return question;
 }
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(toMilliseconds(duration));
-}
-
 } // namespace
 
 RelaySystem::RelaySystem(RelaySystemSettings settings)
@@ -82,12 +62,7 @@
     if (!configuration_.learn(configuration, asOf)) {
         return;
     }
-    Decision decision { "configuration", {} };
-    addField(decision, "version", std::to_string(configuration->version.value()));
-    addField(decision, "before", std::to_string(before.value()));
-    addField(decision, "routes", std::to_string(configuration->routes.size()));
-    addField(decision, "teams", std::to_string(configuration->teams.size()));
-    commands.emplace_back(std::move(decision));
+    commands.emplace_back(recordConfiguration(*configuration, before));
 }
 
 void RelaySystem::learnUpstreams(const std::vector<UpstreamEntry> &list,
@@ -107,19 +82,8 @@
         return;
     }
     placement_.follow(directory_, changes);
-    const std::pair<const char *, const std::vector<UpstreamName> *> kinds[] = {
-        { "added", &changes.added },
-        { "leaving", &changes.leaving },
-        { "removed", &changes.removed },
-        { "restarted", &changes.restarted },
-    };
-    for (const auto &[change, names] : kinds) {
-        for (const UpstreamName &name : *names) {
-            Decision decision { "upstream", {} };
-            addField(decision, "upstream", name.text());
-            addField(decision, "change", change);
-            commands.emplace_back(std::move(decision));
-        }
+    for (Decision &decision : recordChanges(changes)) {
+        commands.emplace_back(std::move(decision));
     }
 }
 
@@ -161,13 +125,7 @@
         admitRelayRequest(request, configuration_, settings_.knowledge, random_.fraction(), now);
     if (!succeeded(admitted)) {
         const Error &error = errorOf(admitted);
-        Decision decision { "reject", {} };
-        addField(decision, "request", request.callerId);
-        addField(decision, "code", std::string(resultCodeName(error.code)));
-        addField(decision, "config", std::to_string(configuration_.version().value()));
-        const std::optional<Duration> age = configuration_.age(now);
-        addField(decision, "config_age_ms", age.has_value() ? milliseconds(*age) : "none");
-        commands.emplace_back(std::move(decision));
+        commands.emplace_back(recordReject(request, error, configuration_, now));
         measured_.push_back({ 0, Outcome::NotRun, error.code, std::nullopt, Duration(0), 0 });
         commands.emplace_back(RelayRefusal { request.request, error, Outcome::NotRun });
         return;
@@ -234,14 +192,7 @@
     placement_.load(row.upstream).begin(row.tokens());
     returnTime_.noteServed(now);
 
-    Decision decision = decide("dispatch", row);
-    addField(decision, "upstream", placement.upstream.text());
-    addField(decision, "load", std::to_string(static_cast<int>(placement.load)));
-    addField(decision, "by_prefix", placement.byPrefix ? "true" : "false");
-    addField(decision, "attempt", std::to_string(row.attempts));
-    addField(decision, "wait_ms", milliseconds(now - row.arrivedAt));
-    commands.emplace_back(std::move(decision));
-
+    commands.emplace_back(recordDispatch(row, placement, now));
     RelayDispatch command;
     command.request = row.request.request;
     command.attempt = row.attempt;
@@ -277,10 +228,7 @@
     row.phase = RelayPhase::Waiting;
     row.waitUntil = std::min(row.deadline, now + patience);
     queue.push(row.tier, row.team, row.request.request);
-    Decision decision = decide("wait", row);
-    addField(decision, "ahead", std::to_string(queue.ahead(row.tier) - 1));
-    addField(decision, "fill_percent", std::to_string(static_cast<int>(fill.value_or(0.0) * 100.0)));
-    commands.emplace_back(std::move(decision));
+    commands.emplace_back(recordWait(row, queue.ahead(row.tier) - 1, fill.value_or(0.0)));
 }
 
 void RelaySystem::serveQueue(const PoolName &pool, TimePoint now, RelayCommands &commands)
@@ -391,10 +339,7 @@
 void RelaySystem::probed(const RelayProbed &result, TimePoint now, RelayCommands &commands)
 {
     placement_.load(result.upstream).noteProbed(result.reached, now);
-    Decision decision { "probe", {} };
-    addField(decision, "upstream", result.upstream.text());
-    addField(decision, "reached", result.reached ? "true" : "false");
-    commands.emplace_back(std::move(decision));
+    commands.emplace_back(recordProbe(result));
 }
 
 bool RelaySystem::mayRetry(const RelayRow &row, TimePoint now)
@@ -408,12 +353,7 @@
 void RelaySystem::retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands)
 {
     row.cause = cause;
-    Decision decision = decide("attempt_failed", row);
-    addField(decision, "upstream", row.upstream.text());
-    addField(decision, "code", std::string(resultCodeName(cause)));
-    addField(decision, "attempt", std::to_string(row.attempts));
-    addField(decision, "after_ms", milliseconds(now - row.dispatchedAt));
-    commands.emplace_back(std::move(decision));
+    commands.emplace_back(recordFailedAttempt(row, now));
     // An attempt that never reached an upstream is no repeat.
     const bool free = row.attempts == 0;
     if (!mayRetry(row, now) || (!free && !budgetOf(row.pool).spend(now))) {
@@ -459,14 +399,7 @@
 
 void RelaySystem::finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands)
 {
-    Decision decision = decide("finish", row);
-    addField(decision, "outcome", std::string(outcomeName(outcome)));
-    addField(decision, "code", std::string(resultCodeName(code)));
-    addField(decision, "upstream", row.upstream.text());
-    addField(decision, "attempts", std::to_string(row.attempts));
-    addField(decision, "first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
-    addField(decision, "total_ms", milliseconds(now - row.arrivedAt));
-    commands.emplace_back(std::move(decision));
+    commands.emplace_back(recordFinish(row, outcome, code, now));
     measured_.push_back({ row.tier, outcome, code, row.firstByte, now - row.arrivedAt, row.attempts });
     const RequestId request = row.request.request;
     rows_.erase(request);
