--- a/core/commands.h
+++ b/core/commands.h
@@ -161,12 +161,6 @@
     auto operator<=>(const Decision &) const = default;
 };
 
-/** Adds a field to the decision's line. */
-inline void addField(Decision &decision, std::string name, std::string value)
-{
-    decision.fields.emplace_back(std::move(name), std::move(value));
-}
-
 /** Final figures of one request, for metrics. */
 struct RequestMeasured
 {
--- a/servers/ingress/request_reports.cpp
+++ b/servers/ingress/request_reports.cpp
@@ -21,6 +21,11 @@
     return decision;
 }
 
+void addField(Decision &decision, const char *name, std::string value)
+{
+    decision.fields.emplace_back(name, std::move(value));
+}
+
 Decision makeFinishDecision(const RequestRow &row, Outcome outcome, ResultCode code, TimePoint now)
 {
     Decision decision = decide("finish", row);
--- a/servers/ingress/request_reports.h
+++ b/servers/ingress/request_reports.h
@@ -13,6 +13,8 @@
 /** A decision about the request, with the fields that every such line has. */
 Decision decide(const char *kind, const RequestRow &row);
 
+void addField(Decision &decision, const char *name, std::string value);
+
 /** The last log line of a request. */
 Decision makeFinishDecision(const RequestRow &row, Outcome outcome, ResultCode code, TimePoint now);
 
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -9,12 +9,12 @@
 Decision decide(std::string kind, const RelayRow &row)
 {
     Decision decision { std::move(kind), {} };
-    addField(decision, "request", row.request.callerId);
-    addField(decision, "route", row.route->name);
-    addField(decision, "team", row.team.text());
-    addField(decision, "tier", std::to_string(row.tier));
-    addField(decision, "pool", row.pool.text());
-    addField(decision, "config", std::to_string(row.table->configuration().version.value()));
+    decision.fields.emplace_back("request", row.request.callerId);
+    decision.fields.emplace_back("route", row.route->name);
+    decision.fields.emplace_back("team", row.team.text());
+    decision.fields.emplace_back("tier", std::to_string(row.tier));
+    decision.fields.emplace_back("pool", row.pool.text());
+    decision.fields.emplace_back("config", std::to_string(row.table->configuration().version.value()));
     return decision;
 }
 
@@ -28,10 +28,10 @@
 Decision recordConfiguration(const SiteConfiguration &configuration, ConfigurationVersion before)
 {
     Decision decision { "configuration", {} };
-    addField(decision, "version", std::to_string(configuration.version.value()));
-    addField(decision, "before", std::to_string(before.value()));
-    addField(decision, "routes", std::to_string(configuration.routes.size()));
-    addField(decision, "teams", std::to_string(configuration.teams.size()));
+    decision.fields.emplace_back("version", std::to_string(configuration.version.value()));
+    decision.fields.emplace_back("before", std::to_string(before.value()));
+    decision.fields.emplace_back("routes", std::to_string(configuration.routes.size()));
+    decision.fields.emplace_back("teams", std::to_string(configuration.teams.size()));
     return decision;
 }
 
@@ -47,8 +47,8 @@
     for (const auto &[change, names] : kinds) {
         for (const UpstreamName &name : *names) {
             Decision decision { "upstream", {} };
-            addField(decision, "upstream", name.text());
-            addField(decision, "change", change);
+            decision.fields.emplace_back("upstream", name.text());
+            decision.fields.emplace_back("change", change);
             decisions.push_back(std::move(decision));
         }
     }
@@ -58,8 +58,8 @@
 Decision recordProbe(const RelayProbed &result)
 {
     Decision decision { "probe", {} };
-    addField(decision, "upstream", result.upstream.text());
-    addField(decision, "reached", result.reached ? "true" : "false");
+    decision.fields.emplace_back("upstream", result.upstream.text());
+    decision.fields.emplace_back("reached", result.reached ? "true" : "false");
     return decision;
 }
 
@@ -69,22 +69,22 @@
                       TimePoint now)
 {
     Decision decision { "reject", {} };
-    addField(decision, "request", request.callerId);
-    addField(decision, "code", std::string(resultCodeName(error.code)));
-    addField(decision, "config", std::to_string(configuration.version().value()));
+    decision.fields.emplace_back("request", request.callerId);
+    decision.fields.emplace_back("code", std::string(resultCodeName(error.code)));
+    decision.fields.emplace_back("config", std::to_string(configuration.version().value()));
     const std::optional<Duration> age = configuration.age(now);
-    addField(decision, "config_age_ms", age.has_value() ? milliseconds(*age) : "none");
+    decision.fields.emplace_back("config_age_ms", age.has_value() ? milliseconds(*age) : "none");
     return decision;
 }
 
 Decision recordDispatch(const RelayRow &row, const Placement &placement, TimePoint now)
 {
     Decision decision = decide("dispatch", row);
-    addField(decision, "upstream", placement.upstream.text());
-    addField(decision, "load", std::to_string(static_cast<int>(placement.load)));
-    addField(decision, "by_prefix", placement.byPrefix ? "true" : "false");
-    addField(decision, "attempt", std::to_string(row.attempts));
-    addField(decision, "wait_ms", milliseconds(now - row.arrivedAt));
+    decision.fields.emplace_back("upstream", placement.upstream.text());
+    decision.fields.emplace_back("load", std::to_string(static_cast<int>(placement.load)));
+    decision.fields.emplace_back("by_prefix", placement.byPrefix ? "true" : "false");
+    decision.fields.emplace_back("attempt", std::to_string(row.attempts));
+    decision.fields.emplace_back("wait_ms", milliseconds(now - row.arrivedAt));
     return decision;
 }
 
@@ -92,30 +92,30 @@
 {
     constexpr double Percent = 100.0;
     Decision decision = decide("wait", row);
-    addField(decision, "ahead", std::to_string(ahead));
-    addField(decision, "fill_percent", std::to_string(static_cast<int>(fill * Percent)));
+    decision.fields.emplace_back("ahead", std::to_string(ahead));
+    decision.fields.emplace_back("fill_percent", std::to_string(static_cast<int>(fill * Percent)));
     return decision;
 }
 
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now)
 {
     Decision decision = decide("attempt_failed", row);
-    addField(decision, "upstream", row.upstream.text());
-    addField(decision, "code", std::string(resultCodeName(row.cause)));
-    addField(decision, "attempt", std::to_string(row.attempts));
-    addField(decision, "after_ms", milliseconds(now - row.dispatchedAt));
+    decision.fields.emplace_back("upstream", row.upstream.text());
+    decision.fields.emplace_back("code", std::string(resultCodeName(row.cause)));
+    decision.fields.emplace_back("attempt", std::to_string(row.attempts));
+    decision.fields.emplace_back("after_ms", milliseconds(now - row.dispatchedAt));
     return decision;
 }
 
 Decision recordFinish(const RelayRow &row, Outcome outcome, ResultCode code, TimePoint now)
 {
     Decision decision = decide("finish", row);
-    addField(decision, "outcome", std::string(outcomeName(outcome)));
-    addField(decision, "code", std::string(resultCodeName(code)));
-    addField(decision, "upstream", row.upstream.text());
-    addField(decision, "attempts", std::to_string(row.attempts));
-    addField(decision, "first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
-    addField(decision, "total_ms", milliseconds(now - row.arrivedAt));
+    decision.fields.emplace_back("outcome", std::string(outcomeName(outcome)));
+    decision.fields.emplace_back("code", std::string(resultCodeName(code)));
+    decision.fields.emplace_back("upstream", row.upstream.text());
+    decision.fields.emplace_back("attempts", std::to_string(row.attempts));
+    decision.fields.emplace_back("first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
+    decision.fields.emplace_back("total_ms", milliseconds(now - row.arrivedAt));
     return decision;
 }
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -382,9 +382,9 @@
     }
     if (row.mayHaveRun) {
         const Outcome outcome = row.repeatable() ? Outcome::Failed : Outcome::Unknown;
+        const bool late = now >= row.deadline;
         finish(row, outcome, code, now, commands);
         // A status of 503 would say that the request has not run.
-        const bool late = now >= row.deadline;
         const ResultCode final = late ? ResultCode::UpstreamTimeout : ResultCode::UpstreamLost;
         commands.emplace_back(
             RelayRefusal { request, { final, "the upstream gave no answer", std::nullopt }, outcome });
