Remove what RelayConnection never read

A flag that was set and never looked at, and a constructor's argument without use. Behaviour as before: relay_node_test, relay_driver_test and relay_process_test pass.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-RelayConnection::RelayConnection(boost::asio::io_context &, Socket socket, RelayConnectionOwner &owner)
+RelayConnection::RelayConnection(Socket socket, RelayConnectionOwner &owner)
     : socket_(std::move(socket))
     , owner_(owner)
     , output_(socket_, [this](bool succeeded) { written(succeeded); })
@@ -54,7 +54,6 @@
 
 void RelayConnection::begin(const RelayAnswer &answer)
 {
-    begun_ = true;
     std::string &head = output_.pending();
     head.append("HTTP/1.1 ").append(std::to_string(answer.status)).append(" ").append(answer.reason).append("\r\n");
     for (const http::fields::value_type &field : answer.fields) {
@@ -257,7 +256,6 @@
         rejectInput(*fault);
         return;
     }
-    begun_ = false;
     phase_ = Phase::Answering;
     phaseSince_ = std::chrono::steady_clock::now();
     owner_.requestOpened(request_, shared_from_this());
@@ -304,7 +302,6 @@
     owner_.requestClosed(request_);
     releaseInput();
     backlogged_ = false;
-    begun_ = false;
     if (!keepAlive_) {
         beginClosing();
         flush();
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -35,7 +35,7 @@
 {
 public:
     /** The owner must outlive the connection. */
-    RelayConnection(boost::asio::io_context &context, Socket socket, RelayConnectionOwner &owner);
+    RelayConnection(Socket socket, RelayConnectionOwner &owner);
 
     void start();
 
@@ -93,7 +93,6 @@
     bool keepAlive_ = true;
     bool headRequest_ = false;
     bool chunked_ = false;
-    bool begun_ = false;
     bool backlogged_ = false;
 };
 
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -51,7 +51,7 @@
             callerObserver.inputRejected(Error { ResultCode::TooManyConnections, "too many connections are open", {} });
             return;
         }
-        const ConnectionPtr connection = std::make_shared<RelayConnection>(context, std::move(socket), *this);
+        const ConnectionPtr connection = std::make_shared<RelayConnection>(std::move(socket), *this);
         connections.insert(connection);
         connection->start();
     }
