--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -16,10 +16,15 @@
     return TimePoint(Duration(microseconds));
 }
 
+std::string textOf(capnp::Text::Reader reader)
+{
+    return std::string(reader.cStr(), reader.size());
+}
+
 PeerReport readReport(PeerWire::PeerReport::Reader reader)
 {
     PeerReport report;
-    report.node = NodeName(std::string(reader.getNode().cStr(), reader.getNode().size()));
+    report.node = NodeName(textOf(reader.getNode()));
     report.incarnation = reader.getIncarnation();
     report.sequence = reader.getSequence();
     report.configuration = ConfigurationVersion(reader.getConfiguration());
@@ -29,37 +34,125 @@
     return report;
 }
 
-} // namespace
+WorkAccount readWork(PeerWire::WorkAccount::Reader reader)
+{
+    WorkAccount account;
+    account.upstreams.reserve(reader.getUpstreams().size());
+    for (const PeerWire::UpstreamWork::Reader item : reader.getUpstreams()) {
+        account.upstreams.push_back(
+            { item.getUpstream(), item.getRequests(), item.getTokens(), item.getUnreadTokens() });
+    }
+    for (const PeerWire::PauseDemand::Reader item : reader.getDemands()) {
+        account.demands.push_back({ item.getPauseMilliseconds(), item.getWork() });
+    }
+    return account;
+}
+
+std::optional<PeerDatagram> readMessage(PeerWire::Datagram::Reader reader)
+{
+    switch (reader.which()) {
+    case PeerWire::Datagram::REPORT:
+        return readReport(reader.getReport());
+    case PeerWire::Datagram::WORK: {
+        const PeerWire::WorkReport::Reader work = reader.getWork();
+        return WorkReport { NodeName(textOf(work.getNode())),
+                            work.getIncarnation(),
+                            work.getSequence(),
+                            work.getCollected(),
+                            readWork(work.getWork()) };
+    }
+    case PeerWire::Datagram::TOTALS: {
+        const PeerWire::WorkTotals::Reader totals = reader.getTotals();
+        return WorkTotals { NodeName(textOf(totals.getCollector())),
+                            totals.getSequence(),
+                            readWork(totals.getOthers()) };
+    }
+    }
+    return std::nullopt;
+}
 
-std::string encodePeerReport(const PeerReport &report)
+kj::StringPtr pointerTo(const std::string &text)
 {
-    capnp::MallocMessageBuilder message;
-    PeerWire::PeerReport::Builder builder = message.initRoot<PeerWire::PeerReport>();
-    builder.setNode(kj::StringPtr(report.node.text().c_str(), report.node.text().size()));
+    return { text.c_str(), text.size() };
+}
+
+void write(const PeerReport &report, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::PeerReport::Builder builder = datagram.initReport();
+    builder.setNode(pointerTo(report.node.text()));
     builder.setIncarnation(report.incarnation);
     builder.setSequence(report.sequence);
     builder.setConfiguration(report.configuration.value());
     builder.setConfigurationAge(report.configurationAge.count());
     builder.setSentAt(report.sentAt.time_since_epoch().count());
     builder.setSentAfter(report.sentAfter.time_since_epoch().count());
-    const kj::Array<capnp::word> words = capnp::messageToFlatArray(message);
+}
+
+void writeWork(const WorkAccount &account, PeerWire::WorkAccount::Builder builder)
+{
+    capnp::List<PeerWire::UpstreamWork>::Builder upstreams =
+        builder.initUpstreams(static_cast<unsigned>(account.upstreams.size()));
+    unsigned index = 0;
+    for (const UpstreamWork &item : account.upstreams) {
+        PeerWire::UpstreamWork::Builder target = upstreams[index++];
+        target.setUpstream(item.upstream);
+        target.setRequests(item.requests);
+        target.setTokens(item.tokens);
+        target.setUnreadTokens(item.unreadTokens);
+    }
+    capnp::List<PeerWire::PauseDemand>::Builder demands =
+        builder.initDemands(static_cast<unsigned>(account.demands.size()));
+    index = 0;
+    for (const PauseDemand &item : account.demands) {
+        PeerWire::PauseDemand::Builder target = demands[index++];
+        target.setPauseMilliseconds(item.pauseMilliseconds);
+        target.setWork(item.work);
+    }
+}
+
+void write(const WorkReport &report, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::WorkReport::Builder builder = datagram.initWork();
+    builder.setNode(pointerTo(report.node.text()));
+    builder.setIncarnation(report.incarnation);
+    builder.setSequence(report.sequence);
+    builder.setCollected(report.collected);
+    writeWork(report.work, builder.initWork());
+}
+
+void write(const WorkTotals &totals, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::WorkTotals::Builder builder = datagram.initTotals();
+    builder.setCollector(pointerTo(totals.collector.text()));
+    builder.setSequence(totals.sequence);
+    writeWork(totals.others, builder.initOthers());
+}
+
+} // namespace
+
+std::string encodePeerDatagram(const PeerDatagram &message)
+{
+    capnp::MallocMessageBuilder builder;
+    const PeerWire::Datagram::Builder datagram = builder.initRoot<PeerWire::Datagram>();
+    std::visit([&datagram](const auto &value) { write(value, datagram); }, message);
+    const kj::Array<capnp::word> words = capnp::messageToFlatArray(builder);
     const kj::ArrayPtr<const kj::byte> bytes = words.asBytes();
     return std::string(reinterpret_cast<const char *>(bytes.begin()), bytes.size());
 }
 
-std::optional<PeerReport> decodePeerReport(std::string_view bytes)
+std::optional<PeerDatagram> decodePeerDatagram(std::string_view bytes)
 {
     if (bytes.empty() || bytes.size() % sizeof(capnp::word) != 0) {
         return std::nullopt;
     }
     kj::Array<capnp::word> words = kj::heapArray<capnp::word>(bytes.size() / sizeof(capnp::word));
     std::memcpy(words.asBytes().begin(), bytes.data(), bytes.size());
-    std::optional<PeerReport> report;
+    std::optional<PeerDatagram> message;
     const kj::Maybe<kj::Exception> exception = kj::runCatchingExceptions([&]() {
         capnp::FlatArrayMessageReader reader(words);
-        report = readReport(reader.getRoot<PeerWire::PeerReport>());
+        message = readMessage(reader.getRoot<PeerWire::Datagram>());
     });
-    return exception == nullptr ? report : std::nullopt;
+    return exception == nullptr ? message : std::nullopt;
 }
 
 } // namespace GeraniumLever
--- a/drivers/peers/peer_codec.h
+++ b/drivers/peers/peer_codec.h
@@ -4,14 +4,18 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "servers/relay/relay.h"
 
 namespace GeraniumLever {
 
-std::string encodePeerReport(const PeerReport &report);
+/** Everything that relays tell each other. */
+using PeerDatagram = std::variant<PeerReport, WorkReport, WorkTotals>;
 
-/** Nothing if the bytes are no report. */
-std::optional<PeerReport> decodePeerReport(std::string_view bytes);
+std::string encodePeerDatagram(const PeerDatagram &message);
+
+/** Nothing if the bytes are no message. */
+std::optional<PeerDatagram> decodePeerDatagram(std::string_view bytes);
 
 } // namespace GeraniumLever
--- a/drivers/peers/peer_link.cpp
+++ b/drivers/peers/peer_link.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-/** Larger than any report. */
+/** Larger than any message. */
 constexpr std::size_t MaxDatagramBytes = 16 * 1024;
 
 } // namespace
@@ -31,9 +31,9 @@
             return;
         }
         if (!error) {
-            const std::optional<PeerReport> report = decodePeerReport(std::string_view(buffer.data(), size));
-            if (report.has_value()) {
-                handler(sender.address().to_string() + ":" + std::to_string(sender.port()), *report);
+            const std::optional<PeerDatagram> message = decodePeerDatagram(std::string_view(buffer.data(), size));
+            if (message.has_value()) {
+                handler(sender.address().to_string() + ":" + std::to_string(sender.port()), *message);
             }
         }
         receive();
@@ -78,13 +78,13 @@
     return Success {};
 }
 
-void PeerLink::send(const std::string &address, const PeerReport &report)
+void PeerLink::send(const std::string &address, const PeerDatagram &message)
 {
     const std::optional<boost::asio::ip::tcp::endpoint> endpoint = parseEndpoint(address);
     if (!endpoint.has_value() || !state_->socket.is_open()) {
         return;
     }
-    const std::string bytes = encodePeerReport(report);
+    const std::string bytes = encodePeerDatagram(message);
     boost::system::error_code lost;
     state_->socket.send_to(
         boost::asio::buffer(bytes), boost::asio::ip::udp::endpoint(endpoint->address(), endpoint->port()), 0, lost);
--- a/drivers/peers/peer_link.h
+++ b/drivers/peers/peer_link.h
@@ -13,12 +13,12 @@
 
 namespace GeraniumLever {
 
-/** Sends and receives reports; none is ever waited for or repeated. */
+/** Sends and receives messages; none is ever waited for or repeated. */
 class PeerLink
 {
 public:
     /** from: "a.b.c.d:port" of the sender. */
-    using Handler = std::function<void(const std::string &from, const PeerReport &report)>;
+    using Handler = std::function<void(const std::string &from, const PeerDatagram &message)>;
 
     PeerLink(boost::asio::io_context &context, Handler handler);
     ~PeerLink();
@@ -26,7 +26,7 @@
     /** Begins to receive on "a.b.c.d:port". */
     Result<Success> start(const std::string &address);
 
-    void send(const std::string &address, const PeerReport &report);
+    void send(const std::string &address, const PeerDatagram &message);
 
 private:
     struct State;
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -1,11 +1,50 @@
 @0xc7d1b2a94e8f3065;
-# Datagrams between relays. Mirrors PeerReport of servers/relay field by field; times are microseconds.
+# Datagrams between relays. Mirrors the reports of servers/relay field by field; times are microseconds.
 # The code in generated/ is made by:
 #   capnp compile --src-prefix=drivers/peers -oc++:drivers/peers/generated drivers/peers/peers.capnp
 
 using Cxx = import "/capnp/c++.capnp";
 $Cxx.namespace("GeraniumLever::PeerWire");
 
+struct Datagram {
+  union {
+    report @0 :PeerReport;
+    work @1 :WorkReport;
+    totals @2 :WorkTotals;
+  }
+}
+
+struct UpstreamWork {
+  upstream @0 :UInt32;
+  requests @1 :UInt32;
+  tokens @2 :UInt32;
+  unreadTokens @3 :UInt32;
+}
+
+struct PauseDemand {
+  pauseMilliseconds @0 :UInt32;
+  work @1 :UInt64;
+}
+
+struct WorkAccount {
+  upstreams @0 :List(UpstreamWork);
+  demands @1 :List(PauseDemand);
+}
+
+struct WorkReport {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  collected @3 :Bool;
+  work @4 :WorkAccount;
+}
+
+struct WorkTotals {
+  collector @0 :Text;
+  sequence @1 :UInt64;
+  others @2 :WorkAccount;
+}
+
 struct PeerReport {
   node @0 :Text;
   incarnation @1 :UInt64;
--- a/drivers/settings/relay_settings.cpp
+++ b/drivers/settings/relay_settings.cpp
@@ -40,6 +40,7 @@
     readRequiredAddress(reader, "status_address", settings.statusAddress);
     readRequiredAddress(reader, "store_address", settings.storeAddress);
     readAddress(reader, "peer_address", settings.peerAddress);
+    reader.read("processor_share", settings.processorShare);
     readPositive(reader, "key_lifetime_ms", settings.keyLifetime);
     readPositive(reader, "apply_time_ms", settings.applyTime);
     reader.read("repeat_ratio", settings.repeatRatio);
--- a/drivers/settings/relay_settings.h
+++ b/drivers/settings/relay_settings.h
@@ -22,6 +22,8 @@
     std::string storeAddress;
     /** Where datagrams of other relays arrive; without it the node takes part in no exchange of loads. */
     std::string peerAddress;
+    /** Part of a processor core that the node may use; nodes with more collect reports for others. */
+    double processorShare = 1.0;
     /** How long a key may be honoured after its removal. */
     Duration keyLifetime = std::chrono::seconds(5);
     /** How soon a configuration must be in force, and a leaving upstream must get nothing more. */
--- a/main/relay/knowledge_reader.cpp
+++ b/main/relay/knowledge_reader.cpp
@@ -1,5 +1,6 @@
 #include "main/relay/knowledge_reader.h"
 
+#include <algorithm>
 #include <random>
 
 namespace GeraniumLever {
@@ -10,7 +11,9 @@
 constexpr double PeriodShareOfApplyTime = 0.65;
 /** Keeps the nodes' reads apart. */
 constexpr double PeriodSpread = 0.1;
+/** Doubles with each further failure in a row; the longest one leaves time to learn of the store's return. */
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds(250);
+constexpr Duration LongestPauseAfterFailure = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -23,8 +26,8 @@
     , clock_(clock)
     , observer_(observer)
     , period_(std::chrono::duration_cast<Duration>(applyTime * PeriodShareOfApplyTime))
-    , configurationTimer_(context)
-    , upstreamTimer_(context)
+    , configuration_(context)
+    , upstreams_(context)
     , random_(std::random_device()())
 {
 }
@@ -38,8 +41,8 @@
 void KnowledgeReader::stop()
 {
     stopped_ = true;
-    configurationTimer_.cancel();
-    upstreamTimer_.cancel();
+    configuration_.timer.cancel();
+    upstreams_.timer.cancel();
 }
 
 void KnowledgeReader::readConfiguration()
@@ -52,7 +55,7 @@
             observer_.configurationRead(
                 std::make_shared<const SiteConfiguration>(std::get<SiteConfiguration>(std::move(result))), asOf);
         }
-        schedule(configurationTimer_, read, &KnowledgeReader::readConfiguration);
+        schedule(configuration_, read, &KnowledgeReader::readConfiguration);
     });
 }
 
@@ -65,17 +68,19 @@
         if (read) {
             observer_.upstreamsRead(std::get<std::vector<UpstreamEntry>>(std::move(result)), asOf);
         }
-        schedule(upstreamTimer_, read, &KnowledgeReader::readUpstreams);
+        schedule(upstreams_, read, &KnowledgeReader::readUpstreams);
     });
 }
 
-void KnowledgeReader::schedule(boost::asio::steady_timer &timer, bool succeeded, void (KnowledgeReader::*read)())
+void KnowledgeReader::schedule(Reading &reading, bool succeeded, void (KnowledgeReader::*read)())
 {
     if (stopped_) {
         return;
     }
-    timer.expires_after(random_.jittered(succeeded ? period_ : PauseAfterFailure, PeriodSpread));
-    timer.async_wait([this, read](const boost::system::error_code &failure) {
+    reading.failurePause =
+        succeeded ? Duration(0) : std::clamp(reading.failurePause * 2, PauseAfterFailure, LongestPauseAfterFailure);
+    reading.timer.expires_after(random_.jittered(succeeded ? period_ : reading.failurePause, PeriodSpread));
+    reading.timer.async_wait([this, read](const boost::system::error_code &failure) {
         if (!failure && !stopped_) {
             (this->*read)();
         }
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -16,6 +16,24 @@
 /** A report of a node that is not listed causes a read, but not more often than this. */
 constexpr std::chrono::seconds ShortestReadPause(2);
 
+/** Work is reported for so long after the last request, so that its end is known, too. */
+constexpr Duration WorkAfterglow = std::chrono::seconds(2);
+
+const NodeName &senderOf(const PeerReport &report)
+{
+    return report.node;
+}
+
+const NodeName &senderOf(const WorkReport &report)
+{
+    return report.node;
+}
+
+const NodeName &senderOf(const WorkTotals &totals)
+{
+    return totals.collector;
+}
+
 } // namespace
 
 PeerExchange::PeerExchange(
@@ -24,10 +42,11 @@
     , store_(store)
     , clock_(clock)
     , system_(system)
-    , link_(context, [this](const std::string &from, const PeerReport &report) { received(from, report); })
+    , link_(context, [this](const std::string &from, const PeerDatagram &message) { received(from, message); })
     , entryTimer_(context)
     , readTimer_(context)
     , reportTimer_(context)
+    , workTimer_(context)
 {
 }
 
@@ -43,6 +62,7 @@
     enter();
     scheduleRead(FirstReadPause);
     sendReports();
+    sendWork();
     return started;
 }
 
@@ -119,16 +139,55 @@
     });
 }
 
-void PeerExchange::received(const std::string &from, const PeerReport &report)
+void PeerExchange::sendWork()
+{
+    const TimePoint now = clock_.now();
+    if (system_.inFlight() != 0) {
+        lastWork_ = now;
+    }
+    if (now - lastWork_ < WorkAfterglow) {
+        for (const AddressedWork &message : system_.reportWork(now)) {
+            link_.send(message.address, message.report);
+        }
+    }
+    workTimer_.expires_after(WorkReportPeriod);
+    workTimer_.async_wait([this](const boost::system::error_code &cancelled) {
+        // Goes on during a stop, for as long as the node has requests.
+        if (!cancelled) {
+            sendWork();
+        }
+    });
+}
+
+void PeerExchange::received(const std::string &from, const PeerDatagram &message)
 {
     const PeerNode *peer = system_.peers().nodeAt(from);
-    if (peer != nullptr && peer->node == report.node) {
-        system_.peerReported(report, clock_.now());
+    const NodeName &sender = std::visit([](const auto &value) -> const NodeName & { return senderOf(value); }, message);
+    if (peer == nullptr || peer->node != sender) {
+        if (!stopped_ && std::chrono::steady_clock::now() - lastRead_ > ShortestReadPause) {
+            readNodes();
+        }
         return;
     }
-    if (std::chrono::steady_clock::now() - lastRead_ > ShortestReadPause) {
-        readNodes();
+    std::visit([&](const auto &value) { take(*peer, value); }, message);
+}
+
+void PeerExchange::take(const PeerNode &, const PeerReport &report)
+{
+    system_.peerReported(report, clock_.now());
+}
+
+void PeerExchange::take(const PeerNode &peer, const WorkReport &report)
+{
+    const std::optional<WorkTotals> totals = system_.workReported(report, clock_.now());
+    if (totals.has_value()) {
+        link_.send(peer.address, *totals);
     }
 }
 
+void PeerExchange::take(const PeerNode &, const WorkTotals &totals)
+{
+    system_.workTotalled(totals, clock_.now());
+}
+
 } // namespace GeraniumLever
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -28,7 +28,11 @@
     void readNodes();
     void scheduleRead(std::chrono::steady_clock::duration pause);
     void sendReports();
-    void received(const std::string &from, const PeerReport &report);
+    void sendWork();
+    void received(const std::string &from, const PeerDatagram &message);
+    void take(const PeerNode &peer, const PeerReport &report);
+    void take(const PeerNode &peer, const WorkReport &report);
+    void take(const PeerNode &peer, const WorkTotals &totals);
 
     PeerNode self_;
     PlatformStore &store_;
@@ -38,6 +42,8 @@
     boost::asio::steady_timer entryTimer_;
     boost::asio::steady_timer readTimer_;
     boost::asio::steady_timer reportTimer_;
+    boost::asio::steady_timer workTimer_;
+    TimePoint lastWork_;
     std::chrono::steady_clock::time_point lastRead_;
     bool stopped_ = false;
 };
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -75,7 +75,11 @@
         , upstreams(context, dialect, *this)
         , store(context, settings.storeAddress, StoreTimeout)
         , reader(context, store, settings.applyTime, clock, *this)
-        , peers(context, { settings.node, settings.dataCenter, settings.peerAddress }, store, clock, system)
+        , peers(context,
+                { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
+                store,
+                clock,
+                system)
         , status(OperatorServerSettings { settings.statusAddress, {} },
                  context,
                  [this](const OperatorRequest &request, OperatorServer::Responder respond) {
--- a/servers/relay/engine_sharing.cpp
+++ b/servers/relay/engine_sharing.cpp
@@ -11,39 +11,75 @@
 
 /** A route is loose if its target for pauses is so many times the shortest of its pool. */
 constexpr int LooseFactor = 2;
-/** Demand forgets half of itself in this time: long enough to even out single requests of one node. */
-constexpr double HalfLifeSeconds = 5.0;
-/** Engines by which the demand must differ from the last division before it changes. */
+/** Demand forgets half of itself in this time: long enough to even out single requests. */
+constexpr double HalfLifeSeconds = 3.0;
+/** Engines by which the demand must differ from the last division before it changes, and the same as a share of all. */
 constexpr double Hysteresis = 0.7;
-/** Weight of the newest request in the mean size of a prompt. */
-constexpr double TokenWeight = 0.04;
-/** Requests below which a target counts as unused. */
-constexpr double FewestRequests = 0.2;
-/** Requests of each kind that are assumed before there are any. */
-constexpr double AssumedRequests = 2.0;
+constexpr double HysteresisShare = 0.03;
+/** Making a token of an answer takes an engine's time like reading so many of a prompt; its context adds to that. */
+constexpr double ReadTokensPerOutputToken = 15.0;
+constexpr double ReadTokensPerOutputAndContextToken = 0.0025;
+/** Engines for requests that bear no long pauses, relative to their part of the work: they are to find a seat at once.
+ */
+constexpr double TightMargin = 1.6;
+/** Work below which a target counts as unused. */
+constexpr double LeastWork = 100.0;
+/** Work that is assumed of each kind before there is any, in prompt tokens. */
+constexpr double AssumedWork = 5000.0;
 
 } // namespace
 
-double EngineSharing::Demand::requestsAt(TimePoint now) const
+double EngineSharing::Demand::at(TimePoint now) const
 {
     const double age = std::chrono::duration<double>(now - updatedAt).count();
-    return requests * std::exp2(-age / HalfLifeSeconds);
+    return work * std::exp2(-age / HalfLifeSeconds);
 }
 
-double EngineSharing::weightOf(Duration pauseTarget, const Demand &demand, TimePoint now)
+void EngineSharing::noteSent(Duration pauseTarget, const PromptFacts &prompt, std::uint32_t unreadTokens, TimePoint now)
 {
-    const double pause = std::max(1.0, static_cast<double>(toMilliseconds(pauseTarget)));
-    return (demand.requestsAt(now) + AssumedRequests) * demand.meanTokens / std::sqrt(pause);
+    Demand &demand = own_[pauseTarget];
+    const double perOutput =
+        ReadTokensPerOutputToken + static_cast<double>(prompt.promptTokens) * ReadTokensPerOutputAndContextToken;
+    const double work = static_cast<double>(unreadTokens) + static_cast<double>(prompt.outputTokens) * perOutput;
+    demand = { demand.at(now) + work, now };
 }
 
-void EngineSharing::noteRequest(Duration pauseTarget, std::uint32_t promptTokens, TimePoint now)
+void EngineSharing::learnOthers(const std::vector<PauseDemand> &others, TimePoint now)
 {
-    Demand &demand = demands_[pauseTarget];
-    const double tokens = static_cast<double>(promptTokens);
-    demand.meanTokens =
-        demand.meanTokens == 0.0 ? tokens : demand.meanTokens + (tokens - demand.meanTokens) * TokenWeight;
-    demand.requests = demand.requestsAt(now) + 1.0;
-    demand.updatedAt = now;
+    others_.clear();
+    for (const PauseDemand &demand : others) {
+        others_[std::chrono::milliseconds(demand.pauseMilliseconds)] = { static_cast<double>(demand.work), now };
+    }
+}
+
+void EngineSharing::addDemands(std::vector<PauseDemand> &demands, TimePoint now) const
+{
+    for (const auto &[pause, demand] : own_) {
+        const double work = demand.at(now);
+        if (work >= LeastWork) {
+            demands.push_back({ static_cast<std::uint32_t>(toMilliseconds(pause)), static_cast<std::uint64_t>(work) });
+        }
+    }
+}
+
+std::map<Duration, double> EngineSharing::demandsAt(TimePoint now)
+{
+    const auto isUnused = [now](const auto &entry) { return entry.second.at(now) < LeastWork; };
+    std::erase_if(own_, isUnused);
+    std::erase_if(others_, isUnused);
+    std::map<Duration, double> demands;
+    for (const std::map<Duration, Demand> *known : { &own_, &others_ }) {
+        for (const auto &[pause, demand] : *known) {
+            demands.try_emplace(pause, AssumedWork).first->second += demand.at(now);
+        }
+    }
+    return demands;
+}
+
+bool EngineSharing::bearsLongPauses(Duration pauseTarget, TimePoint now)
+{
+    const std::map<Duration, double> demands = demandsAt(now);
+    return !demands.empty() && pauseTarget >= demands.begin()->first * LooseFactor;
 }
 
 EnginePart EngineSharing::enginesFor(const PoolName &pool,
@@ -51,19 +87,21 @@
                                      std::vector<UpstreamName> engines,
                                      TimePoint now)
 {
-    std::erase_if(demands_, [now](const auto &entry) { return entry.second.requestsAt(now) < FewestRequests; });
-    if (engines.size() < 2 || demands_.empty()) {
+    std::map<Duration, double> demands = demandsAt(now);
+    demands.try_emplace(pauseTarget, AssumedWork);
+    if (engines.size() < 2) {
         return { std::move(engines), true };
     }
-    const Duration looseFrom = demands_.begin()->first * LooseFactor;
+    const Duration looseFrom = demands.begin()->first * LooseFactor;
     double tight = 0.0;
     double loose = 0.0;
-    for (const auto &[target, demand] : demands_) {
-        (target >= looseFrom ? loose : tight) += weightOf(target, demand, now);
+    for (const auto &[pause, work] : demands) {
+        (pause >= looseFrom ? loose : tight) += work;
     }
     if (loose == 0.0) {
         return { std::move(engines), true };
     }
+    tight *= TightMargin;
     const std::uint64_t seed = XXH64(pool.text().data(), pool.text().size(), 0);
     std::sort(engines.begin(), engines.end(), [seed](const UpstreamName &left, const UpstreamName &right) {
         const std::uint64_t leftRank = XXH64(left.text().data(), left.text().size(), seed);
@@ -71,7 +109,8 @@
         return leftRank < rightRank;
     });
     const double wanted = static_cast<double>(engines.size()) * loose / (loose + tight);
-    if (std::abs(wanted - static_cast<double>(looseEngines_)) > Hysteresis) {
+    const double hysteresis = std::max(Hysteresis, HysteresisShare * static_cast<double>(engines.size()));
+    if (std::abs(wanted - static_cast<double>(looseEngines_)) > hysteresis) {
         looseEngines_ = static_cast<std::size_t>(std::lround(wanted));
     }
     const std::size_t count = std::clamp<std::size_t>(looseEngines_, 1, engines.size() - 1);
--- a/servers/relay/engine_sharing.h
+++ b/servers/relay/engine_sharing.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <vector>
 
+#include "servers/relay/relay_messages.h"
+#include "servers/relay/work_reports.h"
 #include "servers/routing/routing.h"
 
 namespace GeraniumLever {
@@ -21,33 +23,43 @@
 
 /** Answers a rush of long prompts: an engine reads a prompt between the answers of all requests beside it, which then
  *  pause. Requests whose target for pauses is a multiple of the shortest one get engines of their own, in proportion to
- *  their prompt tokens a second divided by the square root of the pause that they bear. All nodes order the engines
- *  alike and see similar requests, so that they need not agree. */
+ *  the work that is sent to engines. What waits or is refused does not count: so a rush that the engines cannot bear
+ *  takes none from the requests that bear no pauses. All nodes order the engines alike and know the work of all, so
+ * that they need not agree. */
 class EngineSharing
 {
 public:
-    /** pauseTarget: of the request's route. */
-    void noteRequest(Duration pauseTarget, std::uint32_t promptTokens, TimePoint now);
+    /** Notes a request that was sent. pauseTarget: of its route. */
+    void noteSent(Duration pauseTarget, const PromptFacts &prompt, std::uint32_t unreadTokens, TimePoint now);
+
+    /** Takes the work that all other nodes have sent lately. */
+    void learnOthers(const std::vector<PauseDemand> &others, TimePoint now);
+
+    /** Adds the work that this node has sent lately. */
+    void addDemands(std::vector<PauseDemand> &demands, TimePoint now) const;
+
+    /** True if requests with this target have engines of their own, since others bear only much shorter pauses. */
+    bool bearsLongPauses(Duration pauseTarget, TimePoint now);
 
     /** The part of the given engines that a request with this target should go to; all of them while every request
      *  bears about the same. */
     EnginePart enginesFor(const PoolName &pool, Duration pauseTarget, std::vector<UpstreamName> engines, TimePoint now);
 
 private:
+    /** Work that decays with time. */
     struct Demand
     {
-        /** Number of requests, which decays with time. */
-        double requests = 0.0;
-        double meanTokens = 0.0;
+        double work = 0.0;
         TimePoint updatedAt;
 
-        double requestsAt(TimePoint now) const;
+        double at(TimePoint now) const;
     };
 
-    /** What the requests with one target ask for. */
-    static double weightOf(Duration pauseTarget, const Demand &demand, TimePoint now);
+    /** Work of all nodes by pause, without what is too little to count. */
+    std::map<Duration, double> demandsAt(TimePoint now);
 
-    std::map<Duration, Demand> demands_;
+    std::map<Duration, Demand> own_;
+    std::map<Duration, Demand> others_;
     /** Engines of the requests that bear longer pauses in the last division; kept while the demand is near it. */
     std::size_t looseEngines_ = 0;
 };
--- a/servers/relay/peer_view.h
+++ b/servers/relay/peer_view.h
@@ -18,6 +18,8 @@
     DataCenterName dataCenter;
     /** "a.b.c.d:port" for datagrams. */
     std::string address;
+    /** Part of a processor core that the node may use; 0 if not stated. */
+    double processorShare = 0.0;
 
     auto operator<=>(const PeerNode &) const = default;
 };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <unordered_map>
 #include <utility>
 
 #include <xxhash.h>
@@ -14,10 +15,24 @@
 constexpr double AffinityBound = 1.3;
 /** Requests above the mean that affinity always allows, so that it holds when there is little to do. */
 constexpr double AffinitySlack = 2.0;
-/** Requests sent beyond the seats, since what is believed of a load is older than the load. */
-constexpr double OverSeats = 1.2;
 /** Share of its seats up to which an engine counts as idle, so that prompt parts alone decide. */
 constexpr double IdleSeatShare = 0.25;
+/** Share of its seats above which an engine gets no request that has not probably kept its parts there, and would
+ * rather wait: what is read again is then read where nobody waits. */
+constexpr double SpareSeatShare = 0.75;
+/** Requests of that kind sent beyond the seats to the engine that has kept their parts. */
+constexpr double OverSeatsIfKept = 1.1;
+/** How likely the first engines in the order of a prompt's shared parts have kept them. */
+constexpr double KeptChance[] = { 1.0, 0.4, 0.2, 0.1 };
+/** With so many shared tokens a request rather waits for an engine that has probably kept them: reading them again
+ * would hold up everything behind it. */
+constexpr std::uint32_t WorthWaitingTokens = 1000;
+/** Part of the target for the first answer that may pass with reading the prompts before this one. */
+constexpr double ReadingShareOfTarget = 0.6;
+/** Prompt tokens that an engine reads in a millisecond, at the least. */
+constexpr double ReadTokensPerMillisecond = 100.0;
+/** Requests sent beyond the seats, since what is believed of a load is older than the load. */
+constexpr double OverSeats = 1.2;
 /** Part of an engine's memory that is filled; the rest is for answers that grow and for what is believed too late. */
 constexpr double UsableTokenShare = 0.8;
 /** Requests by which an upstream in another data centre must be better. */
@@ -48,6 +63,11 @@
     return XXH64(upstream.text().data(), upstream.text().size(), key);
 }
 
+std::uint32_t workKey(const UpstreamName &upstream)
+{
+    return XXH32(upstream.text().data(), upstream.text().size(), 0);
+}
+
 /** Hash of the parts that other requests have, too; 0 if there is none. */
 std::uint64_t sharedKey(const PromptFacts &prompt)
 {
@@ -57,6 +77,16 @@
     return prompt.parts[prompt.parts.size() - 2].id;
 }
 
+/** Tokens of these parts. */
+std::uint32_t sharedTokens(const PromptFacts &prompt)
+{
+    std::uint32_t tokens = 0;
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index) {
+        tokens += prompt.parts[index].tokens;
+    }
+    return tokens;
+}
+
 } // namespace
 
 struct RelayPlacement::Candidate
@@ -65,6 +95,13 @@
     double load = 0.0;
     /** Load with what speaks against the upstream. */
     double cost = 0.0;
+    /** Prompt tokens of other requests that it has still to read. */
+    double backlog = 0.0;
+    /** Prompt tokens of the request that it would have to read. */
+    double unread = 0.0;
+    /** Rank by the shared parts of the prompt; 0 if there are none. */
+    std::uint64_t score = 0;
+    std::size_t rank = 0;
     bool suspect = false;
     bool hasRoom = true;
 };
@@ -94,18 +131,21 @@
         candidate.entry = &entry;
         const UpstreamLoad *known = find(name);
         candidate.load = known == nullptr ? 0.0 : known->requests(now);
-        candidate.cost = candidate.load;
         if (known != nullptr) {
             candidate.suspect = known->suspect(now) || known->full(now);
+        }
+        candidate.cost = candidate.load;
+        if (known != nullptr) {
             candidate.cost += known->failureShare() * FailurePenalty;
             if (question.engine) {
                 const double pace = std::chrono::duration<double>(known->gap(now)) / question.pauseTarget;
                 candidate.cost += pace * PacePenalty;
+                candidate.backlog = known->unreadTokens(now);
             }
         }
         candidate.cost += entry.dataCenter == dataCenter_ || question.engine ? 0.0 : RemotePenalty;
         candidate.hasRoom = known == nullptr || known->own() < connections;
-        const double tokens = known == nullptr ? 0.0 : known->tokens(candidate.load);
+        const double tokens = known == nullptr ? 0.0 : known->tokens(now);
         const double limit = static_cast<double>(question.engineTokens) * UsableTokenShare;
         if (limit > 0.0 && tokens > 0.0 && tokens + static_cast<double>(question.prompt.promptTokens) > limit) {
             candidate.hasRoom = false;
@@ -134,30 +174,70 @@
     if (open.empty()) {
         return std::nullopt;
     }
+    const Candidate *best = nullptr;
+    if (question.engine && question.sharesPrompts && sharedKey(question.prompt) != 0) {
+        best = firstInOrder(open, question);
+    } else {
+        best = &*std::min_element(
+            open.begin(), open.end(), [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    const bool byPrefix = best->score != 0 && best->rank == 0;
+    return Placement {
+        best->entry->name, best->entry->address, best->load, static_cast<std::uint32_t>(best->unread), byPrefix
+    };
+}
+
+const RelayPlacement::Candidate *RelayPlacement::firstInOrder(const std::vector<Candidate> &open,
+                                                              const PlacementQuestion &question)
+{
     double sum = 0.0;
     for (const Candidate &candidate : open) {
         sum += candidate.cost;
     }
     const double bound = sum / static_cast<double>(open.size()) * AffinityBound + AffinitySlack;
+    const double longestBacklog =
+        static_cast<double>(toMilliseconds(question.target)) * ReadingShareOfTarget * ReadTokensPerMillisecond;
+    const bool waits = sharedTokens(question.prompt) >= WorthWaitingTokens;
+    for (const Candidate &candidate : open) {
+        if (waits && candidate.rank >= std::size(KeptChance)) {
+            return nullptr;
+        }
+        const double seats = static_cast<double>(candidate.entry->seats);
+        const bool fits = waits ? candidate.cost < seats * (candidate.rank == 0 ? OverSeatsIfKept : SpareSeatShare)
+                                : candidate.cost <= std::max(bound, seats * IdleSeatShare);
+        if (fits && candidate.backlog <= longestBacklog) {
+            return &candidate;
+        }
+    }
+    if (waits) {
+        return nullptr;
+    }
+    // The better of two, not of all: everybody would choose the same one until its new load is known.
+    const bool second = open.size() > 1 && open[1].cost < open[0].cost;
+    return &open[second ? 1 : 0];
+}
+
+void RelayPlacement::rank(std::vector<Candidate> &open, const PlacementQuestion &question)
+{
     const std::uint64_t key = question.sharesPrompts ? sharedKey(question.prompt) : 0;
-    const Candidate *best = nullptr;
-    std::uint64_t bestScore = 0;
+    const double shared = static_cast<double>(sharedTokens(question.prompt));
+    for (Candidate &candidate : open) {
+        candidate.score = key == 0 ? 0 : rendezvousScore(key, candidate.entry->name);
+        candidate.unread = static_cast<double>(question.prompt.promptTokens);
+    }
     if (key != 0) {
-        for (const Candidate &candidate : open) {
-            const std::uint64_t score = rendezvousScore(key, candidate.entry->name);
-            const double idle = static_cast<double>(candidate.entry->seats) * IdleSeatShare;
-            if (candidate.cost <= std::max(bound, idle) && (best == nullptr || score > bestScore)) {
-                best = &candidate;
-                bestScore = score;
-            }
-        }
+        std::sort(open.begin(), open.end(), [](const Candidate &a, const Candidate &b) { return a.score > b.score; });
     }
-    const bool byPrefix = best != nullptr;
-    if (best == nullptr) {
-        best = &*std::min_element(
-            open.begin(), open.end(), [](const Candidate &a, const Candidate &b) { return a.cost < b.cost; });
+    for (std::size_t index = 0; index < open.size(); ++index) {
+        Candidate &candidate = open[index];
+        candidate.rank = index;
+        if (key != 0 && index < std::size(KeptChance)) {
+            candidate.unread -= KeptChance[index] * std::min(shared, candidate.unread);
+        }
     }
-    return Placement { best->entry->name, best->entry->address, best->load, byPrefix };
 }
 
 void RelayPlacement::keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now)
@@ -171,14 +251,54 @@
         }
         part = sharing_[question.pool].enginesFor(question.pool, question.pauseTarget, std::move(engines), now);
     }
-    std::erase_if(open, [](const Candidate &candidate) { return !candidate.hasRoom; });
     const auto isMeant = [&part](const Candidate &candidate) {
         return std::find(part.engines.begin(), part.engines.end(), candidate.entry->name) != part.engines.end();
     };
-    const bool meantHaveRoom = std::any_of(open.begin(), open.end(), isMeant);
-    if (meantHaveRoom || !part.mayUseOthers) {
+    const bool meantHaveRoom = std::any_of(open.begin(), open.end(), [&isMeant](const Candidate &candidate) {
+        return candidate.hasRoom && isMeant(candidate);
+    });
+    if (question.engine && (meantHaveRoom || !part.mayUseOthers)) {
         std::erase_if(open, [&isMeant](const Candidate &candidate) { return !isMeant(candidate); });
     }
+    if (question.engine) {
+        // Ranked before those without room are left out: whoever has kept the shared parts is asked first.
+        rank(open, question);
+    }
+    std::erase_if(open, [](const Candidate &candidate) { return !candidate.hasRoom; });
+}
+
+WorkAccount RelayPlacement::ownWork(TimePoint now) const
+{
+    WorkAccount work;
+    for (const auto &[name, load] : loads_) {
+        UpstreamWork item = load.ownWork();
+        if (item.tokens != 0) {
+            item.upstream = workKey(name);
+            work.upstreams.push_back(item);
+        }
+    }
+    for (const auto &[pool, sharing] : sharing_) {
+        sharing.addDemands(work.demands, now);
+    }
+    return work;
+}
+
+void RelayPlacement::learnOthers(const UpstreamDirectory &directory, const WorkAccount &others, TimePoint now)
+{
+    std::unordered_map<std::uint32_t, const UpstreamWork *> known;
+    for (const UpstreamWork &work : others.upstreams) {
+        known.emplace(work.upstream, &work);
+    }
+    for (const auto &[name, entry] : directory.entries()) {
+        if (sharing_.count(entry.pool) == 0) {
+            continue;
+        }
+        const auto found = known.find(workKey(name));
+        loads_[name].learnOthers(found == known.end() ? UpstreamWork {} : *found->second, now);
+    }
+    for (auto &[pool, sharing] : sharing_) {
+        sharing.learnOthers(others.demands, now);
+    }
 }
 
 std::vector<RelayProbe> RelayPlacement::takeProbes(const UpstreamDirectory &directory, TimePoint now)
@@ -193,12 +313,16 @@
     return probes;
 }
 
-void RelayPlacement::noteRequest(const PlacementQuestion &question, TimePoint now)
+void RelayPlacement::noteSent(const PlacementQuestion &question, std::uint32_t unreadTokens, TimePoint now)
 {
-    if (!question.engine) {
-        return;
+    if (question.engine) {
+        sharing_[question.pool].noteSent(question.pauseTarget, question.prompt, unreadTokens, now);
     }
-    sharing_[question.pool].noteRequest(question.pauseTarget, question.prompt.promptTokens, now);
+}
+
+bool RelayPlacement::waitsApart(const PlacementQuestion &question, TimePoint now)
+{
+    return question.engine && sharing_[question.pool].bearsLongPauses(question.pauseTarget, now);
 }
 
 std::optional<double> RelayPlacement::fillOf(const UpstreamDirectory &directory,
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -21,6 +21,8 @@
     std::uint32_t maxConnections = 0;
     /** Tokens that one engine's memory holds; 0 if not stated. */
     std::uint64_t engineTokens = 0;
+    /** Time to the first part of the answer that the request should meet. */
+    Duration target { 0 };
     /** Longest pause in the answer that the request should meet. */
     Duration pauseTarget { 0 };
     PromptFacts prompt;
@@ -35,12 +37,17 @@
     std::string address;
     /** Requests believed to be there. */
     double load = 0.0;
+    /** Prompt tokens that an engine has probably to read before it can answer. */
+    std::uint32_t unreadTokens = 0;
     /** True if the upstream was the first choice by the shared parts of the prompt. */
     bool byPrefix = false;
 };
 
-/** Answers a rush with bounded loads: requests with equal prompt parts go to one engine as long as it has not clearly
- *  more to do than the others; else, and for plain services, the least loaded upstream gets the request. */
+/** Answers a rush: each prompt has an order of engines by its shared parts, alike at all nodes, and goes to the first
+ * one that has clearly not more to do than the others and can answer in time. Long shared parts are worth waiting for
+ * one of the first engines, which have probably kept them. So a rush on one part spreads over as few engines as can
+ * bear it, and a node's knowledge, which is always a little old, does not send everybody to the engine that seems idle.
+ * Requests without shared parts, and those of plain services, go to the least loaded upstream. */
 class RelayPlacement
 {
 public:
@@ -57,8 +64,11 @@
                                     const PlacementQuestion &question,
                                     TimePoint now);
 
-    /** Notes the demand of a new request for an engine. */
-    void noteRequest(const PlacementQuestion &question, TimePoint now);
+    /** Notes that the request was sent to an engine, which has probably so many prompt tokens of it to read. */
+    void noteSent(const PlacementQuestion &question, std::uint32_t unreadTokens, TimePoint now);
+
+    /** True if such requests have engines of their own, and so wait apart from the others of the pool. */
+    bool waitsApart(const PlacementQuestion &question, TimePoint now);
 
     /** Probes that are due. */
     std::vector<RelayProbe> takeProbes(const UpstreamDirectory &directory, TimePoint now);
@@ -66,6 +76,12 @@
     /** Share of the pool's seats believed to be taken, over upstreams that take work; absent if there is none. */
     std::optional<double> fillOf(const UpstreamDirectory &directory, const PoolName &pool, TimePoint now) const;
 
+    /** What this node has at engines. */
+    WorkAccount ownWork(TimePoint now) const;
+
+    /** Takes what all other nodes have at engines; those that are not named have nothing. */
+    void learnOthers(const UpstreamDirectory &directory, const WorkAccount &others, TimePoint now);
+
     /** What is known of an upstream; created on first use. */
     UpstreamLoad &load(const UpstreamName &name) { return loads_[name]; }
 
@@ -76,6 +92,12 @@
                                       const PlacementQuestion &question,
                                       TimePoint now) const;
     const UpstreamLoad *find(const UpstreamName &name) const;
+    /** The first engine that can be expected to answer in time; nothing if the request should wait for one of its own.
+     */
+    static const Candidate *firstInOrder(const std::vector<Candidate> &open, const PlacementQuestion &question);
+
+    /** Orders engines by the shared parts of the prompt, and adds what each would have to read of it. */
+    static void rank(std::vector<Candidate> &open, const PlacementQuestion &question);
 
     /** Leaves the upstreams with room that are meant for such requests, or any with room if the request may go there.
      */
--- a/servers/relay/relay_queue.cpp
+++ b/servers/relay/relay_queue.cpp
@@ -32,18 +32,31 @@
     return true;
 }
 
-std::optional<RequestId> RelayQueue::front() const
+std::vector<RequestId> RelayQueue::first(std::size_t count) const
 {
-    if (tiers_.empty()) {
-        return std::nullopt;
-    }
-    const TeamLine *best = nullptr;
-    for (const auto &[team, line] : tiers_.begin()->second.teams) {
-        if (!line.requests.empty() && (best == nullptr || line.startTag < best->startTag)) {
-            best = &line;
+    std::vector<RequestId> requests;
+    for (const auto &[tier, line] : tiers_) {
+        std::vector<const TeamLine *> teams;
+        for (const auto &[team, teamLine] : line.teams) {
+            if (!teamLine.requests.empty()) {
+                teams.push_back(&teamLine);
+            }
+        }
+        std::stable_sort(teams.begin(), teams.end(), [](const TeamLine *left, const TeamLine *right) {
+            return left->startTag < right->startTag;
+        });
+        // One request of each team in turn; a team's further ones follow once those of the others have been tried.
+        for (std::size_t round = 0; !teams.empty(); ++round) {
+            std::erase_if(teams, [round](const TeamLine *team) { return team->requests.size() <= round; });
+            for (const TeamLine *team : teams) {
+                if (requests.size() == count) {
+                    return requests;
+                }
+                requests.push_back(team->requests[round]);
+            }
         }
     }
-    return best->requests.front();
+    return requests;
 }
 
 void RelayQueue::charge(std::uint32_t tier, const TeamName &team, double cost)
@@ -69,4 +82,19 @@
     return count;
 }
 
+std::size_t RelayQueue::aheadOf(std::uint32_t tier, const TeamName &team) const
+{
+    const auto line = tiers_.find(tier);
+    if (line == tiers_.end()) {
+        return ahead(tier);
+    }
+    const auto own = line->second.teams.find(team);
+    const std::size_t ownCount = own == line->second.teams.end() ? 0 : own->second.requests.size();
+    std::size_t count = ahead(tier) - line->second.waiting;
+    for (const auto &[other, teamLine] : line->second.teams) {
+        count += std::min(teamLine.requests.size(), ownCount + (other == team ? 0 : 1));
+    }
+    return count;
+}
+
 } // namespace GeraniumLever
--- a/servers/relay/relay_queue.h
+++ b/servers/relay/relay_queue.h
@@ -18,8 +18,8 @@
 
     bool erase(std::uint32_t tier, const TeamName &team, const RequestId &request);
 
-    /** The request that is served next; nothing if none waits. */
-    std::optional<RequestId> front() const;
+    /** The requests that are served next, at most count, in order. */
+    std::vector<RequestId> first(std::size_t count) const;
 
     /** Charges a team for a request that got an upstream. cost: relative size, above 0. */
     void charge(std::uint32_t tier, const TeamName &team, double cost);
@@ -27,6 +27,10 @@
     /** Requests that are served before a new one of the tier, at most. */
     std::size_t ahead(std::uint32_t tier) const;
 
+    /** Requests that are served before a new one of the team, about: of its tier, as many of each team as of its own.
+     */
+    std::size_t aheadOf(std::uint32_t tier, const TeamName &team) const;
+
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -9,6 +9,15 @@
 
 namespace GeraniumLever {
 
+/** A line in which requests wait: those of a pool, apart if they have engines of their own. */
+struct WaitingLine
+{
+    PoolName pool;
+    bool apart = false;
+
+    auto operator<=>(const WaitingLine &) const = default;
+};
+
 enum class RelayPhase : std::uint8_t {
     /** Has no upstream. */
     Waiting,
@@ -34,11 +43,16 @@
     TimePoint deadline;
 
     RelayPhase phase = RelayPhase::Waiting;
+    /** Where it waits, or would wait. */
+    WaitingLine line;
+    TimePoint waitSince;
     /** A waiting request without an upstream by then is given up. */
     TimePoint waitUntil;
     AttemptId attempt;
     UpstreamName upstream;
     TimePoint dispatchedAt;
+    /** Prompt tokens that the upstream of the attempt has probably still to read. */
+    std::uint32_t unreadTokens = 0;
     /** When the last part of the answer arrived. */
     TimePoint progressAt;
     std::optional<Duration> firstByte;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -14,11 +14,14 @@
 /** Connections that may fail before a request is given up; none of them reaches an upstream. */
 constexpr std::uint32_t MaxFailedConnects = 3;
 /** Share of the target for which a request waits for room; later it would hardly be answered in time. */
-constexpr double WaitShareOfTarget = 0.5;
+constexpr double WaitShareOfTarget = 0.25;
 /** A broken stream goes on within this time, or is given up: callers leave after about two seconds without an event. */
 constexpr Duration ResumePatience = std::chrono::milliseconds(900);
 /** Requests of one pool that may wait at one node. */
 constexpr std::size_t MaxWaiting = 400;
+/** Waiting requests for which an upstream is sought at a time: one that waits for certain engines does not hold up
+ * those behind it. */
+constexpr std::size_t MaxTried = 6;
 /** A repeat needs this much time to be worth its cost. */
 constexpr Duration ShortestUsefulTime = std::chrono::milliseconds(60);
 /** Without any part of an answer for so many targets, a repeatable request is sent elsewhere. */
@@ -37,6 +40,7 @@
         question.engineTokens = row.traits->engineTokens;
     }
     question.sharesPrompts = row.route->sharesPrompts;
+    question.target = row.route->target;
     question.pauseTarget = pauseTargetOf(*row.route);
     question.prompt = row.request.prompt;
     question.excluded = row.tried;
@@ -48,8 +52,8 @@
 RelaySystem::RelaySystem(RelaySystemSettings settings)
     : settings_(std::move(settings))
     , peers_(settings_.node)
+    , work_(settings_.node, settings_.dataCenter, settings_.origin)
     , placement_(settings_.dataCenter, peers_)
-    , returnTime_(settings_.seed)
     , random_(settings_.seed + 1)
 {
 }
@@ -71,8 +75,8 @@
                                  RelayCommands &commands)
 {
     noteChanges(directory_.learn(list, asOf, now), commands);
-    for (auto &[pool, queue] : queues_) {
-        serveQueue(pool, now, commands);
+    for (auto &[line, queue] : queues_) {
+        serveQueue(line, now, commands);
     }
 }
 
@@ -90,6 +94,7 @@
 void RelaySystem::learnNodes(const std::vector<PeerNode> &nodes)
 {
     peers_.learnNodes(nodes);
+    work_.learnNodes(nodes);
     for (auto &[pool, budget] : budgets_) {
         budget.setNodes(peers_.nodeCount());
     }
@@ -117,6 +122,28 @@
     return report;
 }
 
+std::vector<AddressedWork> RelaySystem::reportWork(TimePoint now)
+{
+    std::vector<AddressedWork> messages = work_.report(placement_.ownWork(now), now);
+    const std::optional<WorkAccount> others = work_.ownTotals();
+    if (others.has_value()) {
+        placement_.learnOthers(directory_, *others, now);
+    }
+    return messages;
+}
+
+std::optional<WorkTotals> RelaySystem::workReported(const WorkReport &report, TimePoint now)
+{
+    return work_.take(report, now);
+}
+
+void RelaySystem::workTotalled(const WorkTotals &totals, TimePoint now)
+{
+    if (work_.take(totals)) {
+        placement_.learnOthers(directory_, totals.others, now);
+    }
+}
+
 // Requests.
 
 void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
@@ -131,8 +158,8 @@
         return;
     }
     RelayRow &row = rows_.put(request.request, std::move(std::get<RelayRow>(admitted)));
+    row.line = { row.pool, placement_.waitsApart(questionOf(row), now) };
     budgetOf(row.pool).noteRequest(now);
-    placement_.noteRequest(questionOf(row), now);
     place(row, now, commands);
 }
 
@@ -148,21 +175,20 @@
         return;
     }
     if (row->phase == RelayPhase::Waiting) {
-        queues_[row->pool].erase(row->tier, row->team, request);
+        queues_[row->line].erase(row->tier, row->team, request);
     } else {
         commands.emplace_back(RelayCancel { row->attempt });
         row->mayHaveRun = true;
         endAttempt(*row);
     }
-    const PoolName pool = row->pool;
+    const WaitingLine line = row->line;
     finish(*row, row->mayHaveRun ? Outcome::Failed : Outcome::NotRun, ResultCode::CallerGone, now, commands);
-    serveQueue(pool, now, commands);
+    serveQueue(line, now, commands);
 }
 
 void RelaySystem::place(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
-    RelayQueue &queue = queues_[row.pool];
-    if (queue.ahead(row.tier) == 0 && tryPlace(row, now, commands)) {
+    if (queues_[row.line].ahead(row.tier) == 0 && tryPlace(row, now, commands)) {
         return;
     }
     wait(row, now, commands);
@@ -189,8 +215,9 @@
     row.progressAt = now;
     ++row.attempts;
     attempts_.emplace(row.attempt, row.request.request);
-    placement_.load(row.upstream).begin(row.tokens());
-    returnTime_.noteServed(now);
+    row.unreadTokens = placement.unreadTokens;
+    placement_.load(row.upstream).begin(row.tokens(), row.unreadTokens);
+    placement_.noteSent(questionOf(row), row.unreadTokens, now);
 
     commands.emplace_back(recordDispatch(row, placement, now));
     RelayDispatch command;
@@ -213,7 +240,7 @@
 void RelaySystem::wait(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     const std::optional<double> fill = placement_.fillOf(directory_, row.pool, now);
-    RelayQueue &queue = queues_[row.pool];
+    RelayQueue &queue = queues_[row.line];
     if (!fill.has_value() && !row.firstByte.has_value()) {
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
@@ -225,26 +252,32 @@
     const Duration patience = row.firstByte.has_value()
         ? ResumePatience
         : std::chrono::duration_cast<Duration>(row.route->target * WaitShareOfTarget);
+    const std::size_t ahead = queue.aheadOf(row.tier, row.team);
+    if (ahead > 0 && returnTimeOf(row).expectedWait(ahead) > patience) {
+        giveUp(row, row.mayHaveRun ? row.cause : ResultCode::Shed, now, commands);
+        return;
+    }
     row.phase = RelayPhase::Waiting;
+    row.waitSince = now;
     row.waitUntil = std::min(row.deadline, now + patience);
     queue.push(row.tier, row.team, row.request.request);
-    commands.emplace_back(recordWait(row, queue.ahead(row.tier) - 1, fill.value_or(0.0)));
+    commands.emplace_back(recordWait(row, ahead, fill.value_or(0.0)));
 }
 
-void RelaySystem::serveQueue(const PoolName &pool, TimePoint now, RelayCommands &commands)
+void RelaySystem::serveQueue(const WaitingLine &line, TimePoint now, RelayCommands &commands)
 {
-    const auto found = queues_.find(pool);
+    const auto found = queues_.find(line);
     if (found == queues_.end()) {
         return;
     }
     RelayQueue &queue = found->second;
-    while (const std::optional<RequestId> next = queue.front()) {
-        RelayRow &row = *rows_.edit(*next);
-        if (!tryPlace(row, now, commands)) {
-            return;
+    for (const RequestId &next : queue.first(MaxTried)) {
+        RelayRow &row = *rows_.edit(next);
+        if (tryPlace(row, now, commands)) {
+            returnTimeOf(row).noteServed(row.waitSince, now);
+            queue.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
+            queue.erase(row.tier, row.team, next);
         }
-        queue.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
-        queue.erase(row.tier, row.team, *next);
     }
 }
 
@@ -281,6 +314,7 @@
     } else {
         load.noteAnswered(now);
     }
+    load.noteRead(std::exchange(row->unreadTokens, 0));
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
     if (!row->firstByte.has_value()) {
@@ -304,10 +338,10 @@
     if (row == nullptr) {
         return;
     }
-    const PoolName pool = row->pool;
+    const WaitingLine line = row->line;
     endAttempt(*row);
     finish(*row, Outcome::Answered, ResultCode::Ok, now, commands);
-    serveQueue(pool, now, commands);
+    serveQueue(line, now, commands);
 }
 
 void RelaySystem::failed(const RelayFailure &failure, TimePoint now, RelayCommands &commands)
@@ -316,7 +350,7 @@
     if (row == nullptr) {
         return;
     }
-    const PoolName pool = row->pool;
+    const WaitingLine line = row->line;
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         placement_.load(row->upstream).noteUnreachable(now);
     } else {
@@ -333,7 +367,7 @@
         const bool garbled = failure.kind == RelayFailure::Kind::Garbled;
         retry(*row, garbled ? ResultCode::CrossedAnswer : ResultCode::UpstreamLost, now, commands);
     }
-    serveQueue(pool, now, commands);
+    serveQueue(line, now, commands);
 }
 
 void RelaySystem::probed(const RelayProbed &result, TimePoint now, RelayCommands &commands)
@@ -365,7 +399,9 @@
 
 void RelaySystem::endAttempt(RelayRow &row)
 {
-    placement_.load(row.upstream).end(row.tokens());
+    UpstreamLoad &load = placement_.load(row.upstream);
+    load.noteRead(std::exchange(row.unreadTokens, 0));
+    load.end(row.tokens());
     attempts_.erase(row.attempt);
     row.attempt = AttemptId();
 }
@@ -390,8 +426,8 @@
             RelayRefusal { request, { final, "the upstream gave no answer", std::nullopt }, outcome });
         return;
     }
-    const std::size_t ahead = queues_[row.pool].ahead(row.tier);
-    const Duration retryAfter = returnTime_.after(ahead, row.deadline - now, now);
+    const std::size_t ahead = queues_[row.line].ahead(row.tier);
+    const Duration retryAfter = returnTimeOf(row).after(ahead, row.deadline - now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
     commands.emplace_back(RelayRefusal { request, { final, "no upstream has room", retryAfter }, Outcome::NotRun });
@@ -429,14 +465,14 @@
             checkRunning(*row, now, commands);
             continue;
         }
-        queues_[row->pool].erase(row->tier, row->team, request);
+        queues_[row->line].erase(row->tier, row->team, request);
         giveUp(*row, row->mayHaveRun ? row->cause : ResultCode::Shed, now, commands);
     }
     for (RelayProbe &probe : placement_.takeProbes(directory_, now)) {
         commands.emplace_back(std::move(probe));
     }
-    for (auto &[pool, queue] : queues_) {
-        serveQueue(pool, now, commands);
+    for (auto &[line, queue] : queues_) {
+        serveQueue(line, now, commands);
     }
 }
 
@@ -469,6 +505,11 @@
     return found == attempts_.end() ? nullptr : rows_.edit(found->second);
 }
 
+ReturnTime &RelaySystem::returnTimeOf(const RelayRow &row)
+{
+    return returnTimes_.try_emplace(row.line, random_.engine()()).first->second;
+}
+
 RelayBudget &RelaySystem::budgetOf(const PoolName &pool)
 {
     const auto [budget, isNew] = budgets_.try_emplace(pool, settings_.repeats);
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -10,6 +10,7 @@
 #include "servers/relay/relay_placement.h"
 #include "servers/relay/relay_queue.h"
 #include "servers/relay/return_time.h"
+#include "servers/relay/work_exchange.h"
 
 namespace GeraniumLever {
 
@@ -50,6 +51,15 @@
 
     const PeerView &peers() const { return peers_; }
 
+    /** Reports of work to send; to be called once a WorkReportPeriod. */
+    std::vector<AddressedWork> reportWork(TimePoint now);
+
+    /** Takes another relay's report of work; the answer to it, if it asks for one. */
+    std::optional<WorkTotals> workReported(const WorkReport &report, TimePoint now);
+
+    /** Takes the answer to a report of work. */
+    void workTotalled(const WorkTotals &totals, TimePoint now);
+
     void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayHead &head, TimePoint now, RelayCommands &commands);
@@ -87,7 +97,7 @@
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
     void dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands);
     void wait(RelayRow &row, TimePoint now, RelayCommands &commands);
-    void serveQueue(const PoolName &pool, TimePoint now, RelayCommands &commands);
+    void serveQueue(const WaitingLine &line, TimePoint now, RelayCommands &commands);
     /** Frees the attempt's place; the row has no attempt afterwards. */
     void endAttempt(RelayRow &row);
     /** Tries another upstream if the request may run again and the budget allows it; else gives the request up. */
@@ -96,18 +106,20 @@
     void giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkRunning(RelayRow &row, TimePoint now, RelayCommands &commands);
+    ReturnTime &returnTimeOf(const RelayRow &row);
     RelayBudget &budgetOf(const PoolName &pool);
 
     RelaySystemSettings settings_;
     ConfigurationKeeper configuration_;
     UpstreamDirectory directory_;
     PeerView peers_;
+    WorkExchange work_;
     RelayPlacement placement_;
-    ReturnTime returnTime_;
+    std::map<WaitingLine, ReturnTime> returnTimes_;
     RandomSource random_;
     Table<RequestId, RelayRow> rows_;
     std::map<AttemptId, RequestId> attempts_;
-    std::map<PoolName, RelayQueue> queues_;
+    std::map<WaitingLine, RelayQueue> queues_;
     std::map<PoolName, RelayBudget> budgets_;
     std::vector<RelayMeasured> measured_;
     std::uint64_t lastAttempt_ = 0;
--- a/servers/relay/return_time.cpp
+++ b/servers/relay/return_time.cpp
@@ -12,26 +12,27 @@
 constexpr double LargestShareOfTimeLeft = 0.3;
 /** The times are spread over this factor around the expected one. */
 constexpr double Spread = 0.4;
+/** Weight of the newest interval is one in so many. */
 constexpr int IntervalWeight = 8;
 constexpr Duration LongestInterval = std::chrono::milliseconds(500);
 
 } // namespace
 
-void ReturnTime::noteServed(TimePoint now)
+void ReturnTime::noteServed(TimePoint waitedSince, TimePoint now)
 {
-    if (lastServed_ != TimePoint()) {
-        const Duration interval = std::min(now - lastServed_, LongestInterval);
-        interval_ += (interval - interval_) / IntervalWeight;
-    }
+    const Duration interval = std::min(now - std::max(lastServed_, waitedSince), LongestInterval);
+    interval_ += (interval - interval_) / IntervalWeight;
     lastServed_ = now;
 }
 
-Duration ReturnTime::after(std::size_t ahead, Duration timeLeft, TimePoint now)
+Duration ReturnTime::expectedWait(std::size_t ahead) const
 {
-    const Duration sinceServed =
-        lastServed_ == TimePoint() ? Duration(0) : std::min(now - lastServed_, LongestInterval);
-    const Duration expected = std::max(interval_, sinceServed) * static_cast<Duration::rep>(ahead + 1);
-    const Duration bounded = std::clamp(expected + Shortest * 2, Shortest, Longest);
+    return interval_ * static_cast<Duration::rep>(ahead + 1);
+}
+
+Duration ReturnTime::after(std::size_t ahead, Duration timeLeft)
+{
+    const Duration bounded = std::clamp(expectedWait(ahead) + Shortest * 2, Shortest, Longest);
     const Duration spread = random_.jittered(bounded, Spread);
     const Duration useful =
         Duration(static_cast<Duration::rep>(static_cast<double>(timeLeft.count()) * LargestShareOfTimeLeft));
--- a/servers/relay/return_time.h
+++ b/servers/relay/return_time.h
@@ -12,15 +12,18 @@
 public:
     explicit ReturnTime(std::uint64_t seed) : random_(seed) { }
 
-    /** Notes that the pool had room for one more request. */
-    void noteServed(TimePoint now);
+    /** Notes that a waiting request got an upstream. waitedSince: when it began to wait. */
+    void noteServed(TimePoint waitedSince, TimePoint now);
+
+    /** How long a request behind so many others will wait, by the time between those that got an upstream lately. */
+    Duration expectedWait(std::size_t ahead) const;
 
     /** ahead: requests that wait before the caller's. timeLeft: how long the caller will still wait. */
-    Duration after(std::size_t ahead, Duration timeLeft, TimePoint now);
+    Duration after(std::size_t ahead, Duration timeLeft);
 
 private:
     RandomSource random_;
-    /** Smoothed time between two requests that get an upstream. */
+    /** Smoothed time between two requests that got an upstream while others waited. */
     Duration interval_ { 0 };
     TimePoint lastServed_;
 };
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -22,18 +22,26 @@
 /** Pause before the first probe of an upstream that cannot be reached; grows by half with each further one. */
 constexpr Duration FirstProbePause = std::chrono::milliseconds(250);
 constexpr Duration LongestProbePause = std::chrono::milliseconds(1500);
+/** How long the sum of the other nodes' work is relied on without a newer one. */
+constexpr Duration KnownLifetime = WorkReportPeriod * 5;
 /** How long an upstream that had no room is passed over if others have room. */
 constexpr Duration FullPause = std::chrono::milliseconds(150);
 
 } // namespace
 
-void UpstreamLoad::begin(std::uint32_t tokens)
+void UpstreamLoad::begin(std::uint32_t tokens, std::uint32_t unread)
 {
     ++own_;
     ownTokens_ += tokens;
+    ownUnread_ += unread;
     meanTokens_ += (static_cast<double>(tokens) - meanTokens_) * (meanTokens_ == 0.0 ? 1.0 : TokenWeight);
 }
 
+void UpstreamLoad::noteRead(std::uint32_t unread)
+{
+    ownUnread_ -= std::min<std::uint64_t>(ownUnread_, unread);
+}
+
 void UpstreamLoad::end(std::uint32_t tokens)
 {
     own_ -= std::min<std::uint32_t>(own_, 1);
@@ -47,6 +55,26 @@
     statedAt_ = now;
 }
 
+void UpstreamLoad::learnOthers(const UpstreamWork &work, TimePoint now)
+{
+    known_ = work;
+    knownAt_ = now;
+}
+
+bool UpstreamLoad::knowsOthers(TimePoint now) const
+{
+    return knownAt_ != TimePoint() && now - knownAt_ <= KnownLifetime;
+}
+
+UpstreamWork UpstreamLoad::ownWork() const
+{
+    UpstreamWork work;
+    work.requests = own_;
+    work.tokens = static_cast<std::uint32_t>(ownTokens_);
+    work.unreadTokens = static_cast<std::uint32_t>(ownUnread_);
+    return work;
+}
+
 void UpstreamLoad::noteAnswered(TimePoint)
 {
     failureShare_ *= 1.0 - FailureWeight;
@@ -63,10 +91,17 @@
     suspectUntil_ = now + std::min(pause, LongestSuspicion);
 }
 
-double UpstreamLoad::tokens(double requests) const
+double UpstreamLoad::tokens(TimePoint now) const
 {
-    const double others = std::max(0.0, requests - static_cast<double>(own_));
-    return static_cast<double>(ownTokens_) + others * meanTokens_;
+    const double others = knowsOthers(now) ? static_cast<double>(known_.tokens)
+                                           : (requests(now) - static_cast<double>(own_)) * meanTokens_;
+    return static_cast<double>(ownTokens_) + others;
+}
+
+double UpstreamLoad::unreadTokens(TimePoint now) const
+{
+    const double others = knowsOthers(now) ? static_cast<double>(known_.unreadTokens) : 0.0;
+    return static_cast<double>(ownUnread_) + others;
 }
 
 void UpstreamLoad::noteUnreachable(TimePoint now)
@@ -120,6 +155,9 @@
 
 double UpstreamLoad::requests(TimePoint now) const
 {
+    if (knowsOthers(now)) {
+        return static_cast<double>(known_.requests) + static_cast<double>(own_);
+    }
     const double age = std::chrono::duration<double>(now - statedAt_).count();
     const double others = statedAt_ == TimePoint() ? 0.0 : others_ * std::exp2(-age / OthersHalfLifeSeconds);
     return others + static_cast<double>(own_);
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "servers/relay/relay_messages.h"
+#include "servers/relay/work_reports.h"
 
 namespace GeraniumLever {
 
@@ -12,14 +13,23 @@
 class UpstreamLoad
 {
 public:
-    /** A request of the given prompt size is sent. */
-    void begin(std::uint32_t tokens);
+    /** A request is sent. tokens: prompt and longest answer. unread: prompt tokens that must be read first. */
+    void begin(std::uint32_t tokens, std::uint32_t unread);
 
-    /** A request of the given prompt size is no longer there. */
+    /** So many prompt tokens of a request have been read, or will not be. */
+    void noteRead(std::uint32_t unread);
+
+    /** A request with so many tokens is no longer there. */
     void end(std::uint32_t tokens);
 
     void state(const StatedLoad &load, TimePoint now);
 
+    /** Takes the sum of what all other nodes have there. */
+    void learnOthers(const UpstreamWork &work, TimePoint now);
+
+    /** What this node has there. */
+    UpstreamWork ownWork() const;
+
     /** An attempt was answered. */
     void noteAnswered(TimePoint now);
 
@@ -44,8 +54,12 @@
     /** Requests believed to be at the upstream, from all nodes. */
     double requests(TimePoint now) const;
 
-    /** Prompt and answer tokens there, if other nodes' requests are as large as this node's. requests: of all nodes. */
-    double tokens(double requests) const;
+    /** Prompt and answer tokens there, from all nodes; where the other nodes' are not known, their requests count as
+     * large as this node's. */
+    double tokens(TimePoint now) const;
+
+    /** Prompt tokens that are still to be read there, as far as they are known. */
+    double unreadTokens(TimePoint now) const;
 
     std::uint32_t own() const { return own_; }
 
@@ -62,8 +76,14 @@
     bool full(TimePoint now) const { return now < fullUntil_; }
 
 private:
+    /** True while the other nodes' sum is recent. */
+    bool knowsOthers(TimePoint now) const;
+
     std::uint32_t own_ = 0;
     std::uint64_t ownTokens_ = 0;
+    std::uint64_t ownUnread_ = 0;
+    UpstreamWork known_;
+    TimePoint knownAt_;
     /** Smoothed tokens of one request. */
     double meanTokens_ = 0.0;
     /** Requests of other nodes when the upstream last stated its load. */
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -20,18 +20,24 @@
 
 TEST(PeerCodecTest, ReportsSurviveTheWay)
 {
-    EXPECT_EQ(decodePeerReport(encodePeerReport(sampleReport())), sampleReport());
-    EXPECT_EQ(decodePeerReport(encodePeerReport({})), PeerReport {});
+    const WorkReport work {
+        NodeName("node-2"), 5, 6, true, { { { 1, 2, 3, 4 }, { 0xffffffff, 7, 8, 0 } }, { { 200, 77 } } }
+    };
+    const WorkTotals totals { NodeName("node-3"), 9, { { { 1, 20, 30, 40 } }, { { 200, 5 }, { 800, 6 } } } };
+    const PeerDatagram messages[] = { sampleReport(), PeerReport {}, work, WorkReport {}, totals, WorkTotals {} };
+    for (const PeerDatagram &message : messages) {
+        EXPECT_EQ(decodePeerDatagram(encodePeerDatagram(message)), message) << message.index();
+    }
 }
 
 TEST(PeerCodecTest, OtherBytesAreNoReport)
 {
-    const std::string bytes = encodePeerReport(sampleReport());
-    EXPECT_EQ(decodePeerReport(""), std::nullopt);
-    EXPECT_EQ(decodePeerReport("junk"), std::nullopt);
-    EXPECT_EQ(decodePeerReport(std::string(64, '\xff')), std::nullopt);
+    const std::string bytes = encodePeerDatagram(sampleReport());
+    EXPECT_EQ(decodePeerDatagram(""), std::nullopt);
+    EXPECT_EQ(decodePeerDatagram("junk"), std::nullopt);
+    EXPECT_EQ(decodePeerDatagram(std::string(64, '\xff')), std::nullopt);
     for (std::size_t size = 0; size < bytes.size(); ++size) {
-        EXPECT_NE(decodePeerReport(bytes.substr(0, size)), sampleReport()) << size;
+        EXPECT_NE(decodePeerDatagram(bytes.substr(0, size)), PeerDatagram(sampleReport())) << size;
     }
 }
 
--- a/tests/drivers/peers/peer_link_test.cpp
+++ b/tests/drivers/peers/peer_link_test.cpp
@@ -21,10 +21,11 @@
     while (second == first) {
         second = freeAddress(loop.context());
     }
-    std::vector<std::pair<std::string, PeerReport>> received;
-    PeerLink receiver(loop.context(),
-                      [&](const std::string &from, const PeerReport &report) { received.emplace_back(from, report); });
-    PeerLink sender(loop.context(), [](const std::string &, const PeerReport &) {});
+    std::vector<std::pair<std::string, PeerDatagram>> received;
+    PeerLink receiver(loop.context(), [&](const std::string &from, const PeerDatagram &message) {
+        received.emplace_back(from, message);
+    });
+    PeerLink sender(loop.context(), [](const std::string &, const PeerDatagram &) {});
     ASSERT_TRUE(succeeded(receiver.start(first)));
     ASSERT_TRUE(succeeded(sender.start(second)));
     PeerReport report;
@@ -33,15 +34,15 @@
     sender.send("no address", report);
     ASSERT_TRUE(loop.runUntil([&]() { return received.size() == 1; }));
     EXPECT_EQ(received[0].first, second);
-    EXPECT_EQ(received[0].second, report);
+    EXPECT_EQ(received[0].second, PeerDatagram(report));
 }
 
 TEST(PeerLinkTest, AnAddressThatIsTakenIsAnError)
 {
     EventLoop loop;
     const std::string address = freeAddress(loop.context());
-    PeerLink first(loop.context(), [](const std::string &, const PeerReport &) {});
-    PeerLink second(loop.context(), [](const std::string &, const PeerReport &) {});
+    PeerLink first(loop.context(), [](const std::string &, const PeerDatagram &) {});
+    PeerLink second(loop.context(), [](const std::string &, const PeerDatagram &) {});
     EXPECT_TRUE(succeeded(first.start(address)));
     EXPECT_FALSE(succeeded(second.start(address)));
     EXPECT_FALSE(succeeded(second.start("no address")));
--- a/tests/servers/relay/relay_queue_test.cpp
+++ b/tests/servers/relay/relay_queue_test.cpp
@@ -15,11 +15,12 @@
                                     const std::map<RequestId, std::pair<std::uint32_t, TeamName>> &of)
 {
     std::vector<std::uint64_t> order;
-    while (const std::optional<RequestId> next = queue.front()) {
-        const auto &[tier, team] = of.at(*next);
+    while (!queue.empty()) {
+        const RequestId next = queue.first(1).at(0);
+        const auto &[tier, team] = of.at(next);
         queue.charge(tier, team, 1.0);
-        queue.erase(tier, team, *next);
-        order.push_back(next->sequence());
+        queue.erase(tier, team, next);
+        order.push_back(next.sequence());
     }
     return order;
 }
@@ -30,7 +31,7 @@
     queue.push(2, TeamName("a"), idOf(1));
     queue.push(0, TeamName("a"), idOf(2));
     queue.push(1, TeamName("a"), idOf(3));
-    EXPECT_EQ(queue.front(), idOf(2));
+    EXPECT_EQ(queue.first(1), std::vector<RequestId> { idOf(2) });
     EXPECT_EQ(queue.ahead(0), 1U);
     EXPECT_EQ(queue.ahead(2), 3U);
 }
@@ -59,10 +60,10 @@
     queue.push(1, TeamName("a"), idOf(2));
     EXPECT_TRUE(queue.erase(1, TeamName("a"), idOf(1)));
     EXPECT_FALSE(queue.erase(1, TeamName("a"), idOf(1)));
-    EXPECT_EQ(queue.front(), idOf(2));
+    EXPECT_EQ(queue.first(1), std::vector<RequestId> { idOf(2) });
     EXPECT_TRUE(queue.erase(1, TeamName("a"), idOf(2)));
     EXPECT_TRUE(queue.empty());
-    EXPECT_EQ(queue.front(), std::nullopt);
+    EXPECT_TRUE(queue.first(1).empty());
 }
 
 } // namespace
