Divide an engine's free seats between the nodes whose requests wait for it

Mend: reports tell how many requests wait for each engine; a node takes its part of the free seats until the next report. Requests that would rather wait for an engine with their parts go to others only where these have less to do than the mean.

--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -40,7 +40,7 @@
     account.upstreams.reserve(reader.getUpstreams().size());
     for (const PeerWire::UpstreamWork::Reader item : reader.getUpstreams()) {
         account.upstreams.push_back(
-            { item.getUpstream(), item.getRequests(), item.getTokens(), item.getUnreadTokens() });
+            { item.getUpstream(), item.getRequests(), item.getTokens(), item.getUnreadTokens(), item.getWaiting() });
     }
     for (const PeerWire::PauseDemand::Reader item : reader.getDemands()) {
         account.demands.push_back({ item.getPauseMilliseconds(), item.getWork() });
@@ -99,6 +99,7 @@
         target.setRequests(item.requests);
         target.setTokens(item.tokens);
         target.setUnreadTokens(item.unreadTokens);
+        target.setWaiting(item.waiting);
     }
     capnp::List<PeerWire::PauseDemand>::Builder demands =
         builder.initDemands(static_cast<unsigned>(account.demands.size()));
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -19,6 +19,7 @@
   requests @1 :UInt32;
   tokens @2 :UInt32;
   unreadTokens @3 :UInt32;
+  waiting @4 :UInt32;
 }
 
 struct PauseDemand {
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -17,9 +17,11 @@
 constexpr double AffinitySlack = 2.0;
 /** Share of its seats up to which an engine counts as idle, so that prompt parts alone decide. */
 constexpr double IdleSeatShare = 0.25;
-/** Share of its seats above which an engine gets no request that has not probably kept its parts there, and would
- * rather wait: what is read again is then read where nobody waits. */
-constexpr double SpareSeatShare = 0.75;
+/** Requests that would rather wait for an engine that has kept their parts go to another one only below the mean load,
+ * or below the first share of its seats where the mean is above the second one: what is read again is then read where
+ *  nobody waits. */
+constexpr double SpareSeatShare = 0.5;
+constexpr double CrowdedSeatShare = 0.75;
 /** Requests of that kind sent beyond the seats to the engine that has kept their parts. */
 constexpr double OverSeatsIfKept = 1.1;
 /** How likely the first engines in the order of a prompt's shared parts have kept them. */
@@ -104,6 +106,8 @@
     std::size_t rank = 0;
     bool suspect = false;
     bool hasRoom = true;
+    /** False if the free seats are the part of other nodes. */
+    bool mayTakeSeat = true;
 };
 
 void RelayPlacement::follow(const UpstreamDirectory &directory, const DirectoryChanges &changes)
@@ -141,6 +145,7 @@
                 const double pace = std::chrono::duration<double>(known->gap(now)) / question.pauseTarget;
                 candidate.cost += pace * PacePenalty;
                 candidate.backlog = known->unreadTokens(now);
+                candidate.mayTakeSeat = known->mayTakeSeat(now);
             }
         }
         candidate.cost += entry.dataCenter == dataCenter_ || question.engine ? 0.0 : RemotePenalty;
@@ -170,7 +175,8 @@
     if (open.empty()) {
         return std::nullopt;
     }
-    keepRoomy(open, question, now);
+    keepMeant(open, question, now);
+    std::erase_if(open, [](const Candidate &candidate) { return !candidate.hasRoom; });
     if (open.empty()) {
         return std::nullopt;
     }
@@ -197,7 +203,8 @@
     for (const Candidate &candidate : open) {
         sum += candidate.cost;
     }
-    const double bound = sum / static_cast<double>(open.size()) * AffinityBound + AffinitySlack;
+    const double mean = sum / static_cast<double>(open.size());
+    const double bound = mean * AffinityBound + AffinitySlack;
     const double longestBacklog =
         static_cast<double>(toMilliseconds(question.target)) * ReadingShareOfTarget * ReadTokensPerMillisecond;
     const bool waits = sharedTokens(question.prompt) >= WorthWaitingTokens;
@@ -206,7 +213,9 @@
             return nullptr;
         }
         const double seats = static_cast<double>(candidate.entry->seats);
-        const bool fits = waits ? candidate.cost < seats * (candidate.rank == 0 ? OverSeatsIfKept : SpareSeatShare)
+        const double spare = std::max(seats * SpareSeatShare, mean <= seats * CrowdedSeatShare ? mean : 0.0);
+        const double waitsUpTo = candidate.rank == 0 ? seats * OverSeatsIfKept : spare;
+        const bool fits = waits ? candidate.mayTakeSeat && candidate.cost < waitsUpTo
                                 : candidate.cost <= std::max(bound, seats * IdleSeatShare);
         if (fits && candidate.backlog <= longestBacklog) {
             return &candidate;
@@ -240,7 +249,7 @@
     }
 }
 
-void RelayPlacement::keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now)
+void RelayPlacement::keepMeant(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now)
 {
     EnginePart part;
     if (question.engine) {
@@ -261,10 +270,8 @@
         std::erase_if(open, [&isMeant](const Candidate &candidate) { return !isMeant(candidate); });
     }
     if (question.engine) {
-        // Ranked before those without room are left out: whoever has kept the shared parts is asked first.
         rank(open, question);
     }
-    std::erase_if(open, [](const Candidate &candidate) { return !candidate.hasRoom; });
 }
 
 WorkAccount RelayPlacement::ownWork(TimePoint now) const
@@ -272,7 +279,7 @@
     WorkAccount work;
     for (const auto &[name, load] : loads_) {
         UpstreamWork item = load.ownWork();
-        if (item.tokens != 0) {
+        if (item.tokens != 0 || item.waiting != 0) {
             item.upstream = workKey(name);
             work.upstreams.push_back(item);
         }
@@ -294,7 +301,10 @@
             continue;
         }
         const auto found = known.find(workKey(name));
-        loads_[name].learnOthers(found == known.end() ? UpstreamWork {} : *found->second, now);
+        const UpstreamWork work = found == known.end() ? UpstreamWork {} : *found->second;
+        UpstreamLoad &load = loads_[name];
+        const double taken = static_cast<double>(work.requests) + static_cast<double>(load.own());
+        load.learnOthers(work, static_cast<double>(entry.seats) * OverSeatsIfKept - taken, random_.fraction(), now);
     }
     for (auto &[pool, sharing] : sharing_) {
         sharing.learnOthers(others.demands, now);
@@ -320,6 +330,18 @@
     }
 }
 
+UpstreamName RelayPlacement::awaited(const UpstreamDirectory &directory,
+                                     const PlacementQuestion &question,
+                                     TimePoint now)
+{
+    if (!question.engine || !question.sharesPrompts || sharedTokens(question.prompt) < WorthWaitingTokens) {
+        return {};
+    }
+    std::vector<Candidate> meant = candidates(directory, question, now);
+    keepMeant(meant, question, now);
+    return meant.empty() ? UpstreamName() : meant.front().entry->name;
+}
+
 bool RelayPlacement::waitsApart(const PlacementQuestion &question, TimePoint now)
 {
     return question.engine && sharing_[question.pool].bearsLongPauses(question.pauseTarget, now);
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -52,7 +52,8 @@
 {
 public:
     /** peers: must outlive the placement. */
-    RelayPlacement(DataCenterName dataCenter, const PeerView &peers) : dataCenter_(std::move(dataCenter)), peers_(peers)
+    RelayPlacement(DataCenterName dataCenter, const PeerView &peers, std::uint64_t seed)
+        : dataCenter_(std::move(dataCenter)), peers_(peers), random_(seed)
     {
     }
 
@@ -64,6 +65,9 @@
                                     const PlacementQuestion &question,
                                     TimePoint now);
 
+    /** The engine for which a request waits that found none with room; empty if any will do. */
+    UpstreamName awaited(const UpstreamDirectory &directory, const PlacementQuestion &question, TimePoint now);
+
     /** Notes that the request was sent to an engine, which has probably so many prompt tokens of it to read. */
     void noteSent(const PlacementQuestion &question, std::uint32_t unreadTokens, TimePoint now);
 
@@ -99,12 +103,13 @@
     /** Orders engines by the shared parts of the prompt, and adds what each would have to read of it. */
     static void rank(std::vector<Candidate> &open, const PlacementQuestion &question);
 
-    /** Leaves the upstreams with room that are meant for such requests, or any with room if the request may go there.
-     */
-    void keepRoomy(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now);
+    /** Leaves the upstreams that are meant for such requests, or all if the request may go there and the others have no
+     *  room; engines in the order of the prompt's shared parts. */
+    void keepMeant(std::vector<Candidate> &open, const PlacementQuestion &question, TimePoint now);
 
     DataCenterName dataCenter_;
     const PeerView &peers_;
+    RandomSource random_;
     std::map<PoolName, EngineSharing> sharing_;
     std::map<UpstreamName, UpstreamLoad> loads_;
 };
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -45,6 +45,8 @@
     RelayPhase phase = RelayPhase::Waiting;
     /** Where it waits, or would wait. */
     WaitingLine line;
+    /** Engine for which it waits; empty if any will do. */
+    UpstreamName awaited;
     TimePoint waitSince;
     /** A waiting request without an upstream by then is given up. */
     TimePoint waitUntil;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -53,7 +53,7 @@
     : settings_(std::move(settings))
     , peers_(settings_.node)
     , work_(settings_.node, settings_.dataCenter, settings_.origin)
-    , placement_(settings_.dataCenter, peers_)
+    , placement_(settings_.dataCenter, peers_, settings_.seed + 2)
     , random_(settings_.seed + 1)
 {
 }
@@ -175,7 +175,7 @@
         return;
     }
     if (row->phase == RelayPhase::Waiting) {
-        queues_[row->line].erase(row->tier, row->team, request);
+        leaveLine(*row);
     } else {
         commands.emplace_back(RelayCancel { row->attempt });
         row->mayHaveRun = true;
@@ -261,9 +261,22 @@
     row.waitSince = now;
     row.waitUntil = std::min(row.deadline, now + patience);
     queue.push(row.tier, row.team, row.request.request);
+    row.awaited = placement_.awaited(directory_, questionOf(row), now);
+    if (!row.awaited.empty()) {
+        placement_.load(row.awaited).noteWaiting(true);
+    }
     commands.emplace_back(recordWait(row, ahead, fill.value_or(0.0)));
 }
 
+void RelaySystem::leaveLine(RelayRow &row)
+{
+    queues_[row.line].erase(row.tier, row.team, row.request.request);
+    if (!row.awaited.empty()) {
+        placement_.load(row.awaited).noteWaiting(false);
+        row.awaited = UpstreamName();
+    }
+}
+
 void RelaySystem::serveQueue(const WaitingLine &line, TimePoint now, RelayCommands &commands)
 {
     const auto found = queues_.find(line);
@@ -276,7 +289,7 @@
         if (tryPlace(row, now, commands)) {
             returnTimeOf(row).noteServed(row.waitSince, now);
             queue.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
-            queue.erase(row.tier, row.team, next);
+            leaveLine(row);
         }
     }
 }
@@ -465,7 +478,7 @@
             checkRunning(*row, now, commands);
             continue;
         }
-        queues_[row->line].erase(row->tier, row->team, request);
+        leaveLine(*row);
         giveUp(*row, row->mayHaveRun ? row->cause : ResultCode::Shed, now, commands);
     }
     for (RelayProbe &probe : placement_.takeProbes(directory_, now)) {
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -97,6 +97,8 @@
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
     void dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands);
     void wait(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Takes the request out of the line in which it waits. */
+    void leaveLine(RelayRow &row);
     void serveQueue(const WaitingLine &line, TimePoint now, RelayCommands &commands);
     /** Frees the attempt's place; the row has no attempt afterwards. */
     void endAttempt(RelayRow &row);
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -32,6 +32,7 @@
 void UpstreamLoad::begin(std::uint32_t tokens, std::uint32_t unread)
 {
     ++own_;
+    grant_ -= 1.0;
     ownTokens_ += tokens;
     ownUnread_ += unread;
     meanTokens_ += (static_cast<double>(tokens) - meanTokens_) * (meanTokens_ == 0.0 ? 1.0 : TokenWeight);
@@ -55,10 +56,24 @@
     statedAt_ = now;
 }
 
-void UpstreamLoad::learnOthers(const UpstreamWork &work, TimePoint now)
+void UpstreamLoad::learnOthers(const UpstreamWork &work, double freeSeats, double draw, TimePoint now)
 {
     known_ = work;
     knownAt_ = now;
+    // A node without a waiting request counts as one, for the request that may arrive before the next report.
+    const double own = std::max(1.0, static_cast<double>(ownWaiting_));
+    const double share = std::max(0.0, freeSeats) * own / (own + static_cast<double>(work.waiting));
+    grant_ = std::floor(share + draw);
+}
+
+void UpstreamLoad::noteWaiting(bool waits)
+{
+    ownWaiting_ = waits ? ownWaiting_ + 1 : ownWaiting_ - std::min<std::uint32_t>(ownWaiting_, 1);
+}
+
+bool UpstreamLoad::mayTakeSeat(TimePoint now) const
+{
+    return !knowsOthers(now) || grant_ >= 1.0;
 }
 
 bool UpstreamLoad::knowsOthers(TimePoint now) const
@@ -72,6 +87,7 @@
     work.requests = own_;
     work.tokens = static_cast<std::uint32_t>(ownTokens_);
     work.unreadTokens = static_cast<std::uint32_t>(ownUnread_);
+    work.waiting = ownWaiting_;
     return work;
 }
 
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -24,8 +24,15 @@
 
     void state(const StatedLoad &load, TimePoint now);
 
-    /** Takes the sum of what all other nodes have there. */
-    void learnOthers(const UpstreamWork &work, TimePoint now);
+    /** Takes the sum of what all other nodes have there. freeSeats: that are left for all nodes. draw: uniform in
+     *  [0, 1). */
+    void learnOthers(const UpstreamWork &work, double freeSeats, double draw, TimePoint now);
+
+    /** A request of this node begins to wait for the upstream, or no longer waits. */
+    void noteWaiting(bool waits);
+
+    /** False if this node has used its part of the free seats, of which those whose requests wait get more. */
+    bool mayTakeSeat(TimePoint now) const;
 
     /** What this node has there. */
     UpstreamWork ownWork() const;
@@ -82,6 +89,9 @@
     std::uint32_t own_ = 0;
     std::uint64_t ownTokens_ = 0;
     std::uint64_t ownUnread_ = 0;
+    std::uint32_t ownWaiting_ = 0;
+    /** Seats that this node may take until the next report; negative if it took more. */
+    double grant_ = 0.0;
     UpstreamWork known_;
     TimePoint knownAt_;
     /** Smoothed tokens of one request. */
--- a/servers/relay/work_collector.cpp
+++ b/servers/relay/work_collector.cpp
@@ -68,6 +68,7 @@
         sum.requests += item.requests;
         sum.tokens += item.tokens;
         sum.unreadTokens += item.unreadTokens;
+        sum.waiting += item.waiting;
     }
     for (const PauseDemand &item : account.demands) {
         PauseDemand &sum = demands[item.pauseMilliseconds];
--- a/servers/relay/work_reports.h
+++ b/servers/relay/work_reports.h
@@ -19,6 +19,8 @@
     std::uint32_t tokens = 0;
     /** Prompt tokens that the engine has still to read before it can answer. */
     std::uint32_t unreadTokens = 0;
+    /** Requests that wait for room there. */
+    std::uint32_t waiting = 0;
 
     auto operator<=>(const UpstreamWork &) const = default;
 };
--- a/tests/servers/relay/relay_queue_test.cpp
+++ b/tests/servers/relay/relay_queue_test.cpp
@@ -66,5 +66,34 @@
     EXPECT_TRUE(queue.first(1).empty());
 }
 
+TEST(RelayQueueTest, TheNextRequestsAreOfEachTeamInTurn)
+{
+    RelayQueue queue;
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        queue.push(1, TeamName("a"), idOf(number));
+    }
+    queue.push(1, TeamName("b"), idOf(5));
+    queue.push(0, TeamName("c"), idOf(6));
+    const std::vector<RequestId> expected { idOf(6), idOf(1), idOf(5), idOf(2), idOf(3) };
+    EXPECT_EQ(queue.first(5), expected);
+    EXPECT_EQ(queue.first(100).size(), 6U);
+}
+
+TEST(RelayQueueTest, ATeamIsBehindAsManyOfEachOtherTeamAsOfItsOwn)
+{
+    RelayQueue queue;
+    EXPECT_EQ(queue.aheadOf(1, TeamName("a")), 0U);
+    for (std::uint64_t number = 1; number <= 4; ++number) {
+        queue.push(1, TeamName("a"), idOf(number));
+    }
+    queue.push(1, TeamName("b"), idOf(5));
+    queue.push(0, TeamName("c"), idOf(6));
+    EXPECT_EQ(queue.aheadOf(1, TeamName("a")), 1U + 4U + 1U);
+    EXPECT_EQ(queue.aheadOf(1, TeamName("b")), 1U + 2U + 1U);
+    EXPECT_EQ(queue.aheadOf(1, TeamName("d")), 1U + 1U + 1U);
+    EXPECT_EQ(queue.aheadOf(0, TeamName("d")), 1U);
+    EXPECT_EQ(queue.aheadOf(2, TeamName("d")), 6U);
+}
+
 } // namespace
 } // namespace GeraniumLever
