Answer requests that a draining server has read but not looked at

Cause: a drain accepts what waits in the queue of new connections and then closes connections without a request. Reading begins when a connection is accepted and takes what is already there, so that a whole request had been taken from the system when its connection was closed unanswered. The same could happen to a kept connection whose read had ended while its handler was still to run, and at the idle limit. The process also ended while answers were still to be written. Mend: the pending read is cancelled; if it has taken bytes they are parsed and answered, else the connection closes. A stop waits until the connections are quiet, within its limit. Ruled out: the ready socket's read runs right before its handler, so a kept connection alone rarely shows it.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -133,9 +133,18 @@
 
 void RelayConnection::closeIfIdle()
 {
-    if (phase_ == Phase::Idle && output_.unsent() == 0) {
-        peerGone();
+    if (phase_ != Phase::Idle || output_.unsent() != 0 || input_.size() != 0) {
+        return;
     }
+    // A read may have ended although its handler has not run yet: what it took must not be dropped. So the read is
+    // ended, and the connection with it if there was nothing to read.
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
+}
+
+bool RelayConnection::quiet() const
+{
+    return (phase_ == Phase::Closing || phase_ == Phase::Closed) && output_.unsent() == 0;
 }
 
 void RelayConnection::checkTime(std::chrono::steady_clock::time_point now)
@@ -144,7 +153,7 @@
     switch (phase_) {
     case Phase::Idle:
         if (passed > owner_.limits().idleTimeout) {
-            peerGone();
+            closeIfIdle();
         }
         break;
     case Phase::Reading:
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -47,9 +47,12 @@
     /** Closes at once, in the middle of whatever is under way; nothing is reported. */
     void close();
 
-    /** Closes if no request has begun. */
+    /** Closes if no request has begun to arrive; soon, not at once. */
     void closeIfIdle();
 
+    /** True if the last answer has been written, and nothing more is to be read. */
+    bool quiet() const;
+
     void checkTime(std::chrono::steady_clock::time_point now);
 
 private:
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "drivers/relay/relay_server.h"
 
+#include <algorithm>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -170,6 +171,13 @@
     }
 }
 
+bool RelayServer::quiet() const
+{
+    return std::all_of(state_->connections.begin(),
+                       state_->connections.end(),
+                       [](const State::ConnectionPtr &connection) { return connection->quiet(); });
+}
+
 void RelayServer::tick()
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -64,9 +64,12 @@
     /** Announces with each answer that its connection closes. */
     void announceClose();
 
-    /** Accepts nothing more, and closes connections without a request. */
+    /** Accepts nothing more, and closes connections without a request. To be called again until the server is quiet. */
     void drain();
 
+    /** True if no connection has, or may be about to have, a request or an answer under way. */
+    bool quiet() const;
+
     /** Closes connections that have been idle, or have taken too long to send a request. To be called a few times a
      *  second. */
     void tick();
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -362,7 +362,7 @@
         if (now >= stopAt) {
             callers.drain();
         }
-        if ((now >= stopAt && system.inFlight() == 0) || now >= endAt) {
+        if ((now >= stopAt && system.inFlight() == 0 && callers.quiet()) || now >= endAt) {
             LOG(INFO) << "event=stopped in_flight=" << system.inFlight();
             log.flush();
             reader.stop();
--- a/tests/drivers/relay/relay_client_test.cpp
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -6,38 +6,11 @@
 
 #include "tests/drivers/http/event_loop.h"
 #include "tests/drivers/http/raw_listener.h"
+#include "tests/drivers/relay/plain_dialect.h"
 
 namespace GeraniumLever {
 namespace {
 
-/** A dialect without fields of its own. */
-class PlainDialect : public RelayDialect
-{
-public:
-    std::optional<Error> readRequest(RelayCall &) const override { return std::nullopt; }
-
-    boost::beast::http::fields fieldsFor(const RelayCall &call,
-                                         const RelayDispatch &,
-                                         const std::string &) const override
-    {
-        return call.fields;
-    }
-
-    RelayHead readHead(unsigned status, const boost::beast::http::fields &) const override
-    {
-        RelayHead head;
-        head.status = status;
-        return head;
-    }
-
-    bool belongsTo(const RelayCall &, const RelayHead &, const boost::beast::http::fields &) const override
-    {
-        return true;
-    }
-
-    void markRefusal(boost::beast::http::fields &, const Error &) const override { }
-};
-
 class RelayClientTest : public testing::Test, public RelayExchangeObserver
 {
 protected:
