--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -146,6 +146,12 @@
         lastWork_ = now;
     }
     if (now - lastWork_ < WorkAfterglow) {
+        const PeerNode *collector = system_.workCollector(now);
+        const NodeName name = collector == nullptr ? NodeName() : collector->node;
+        if (name != collector_) {
+            LOG(INFO) << "event=work_collector node=" << name.text() << " before=" << collector_.text();
+            collector_ = name;
+        }
         for (const AddressedWork &message : system_.reportWork(now)) {
             link_.send(message.address, message.report);
         }
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -44,6 +44,8 @@
     boost::asio::steady_timer reportTimer_;
     boost::asio::steady_timer workTimer_;
     TimePoint lastWork_;
+    /** To which reports of work went last; for log lines. */
+    NodeName collector_;
     std::chrono::steady_clock::time_point lastRead_;
     bool stopped_ = false;
 };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -190,10 +190,15 @@
     if (best == nullptr) {
         return std::nullopt;
     }
-    const bool byPrefix = best->score != 0 && best->rank == 0;
-    return Placement {
-        best->entry->name, best->entry->address, best->load, static_cast<std::uint32_t>(best->unread), byPrefix
-    };
+    const UpstreamLoad *known = find(best->entry->name);
+    Placement placement;
+    placement.upstream = best->entry->name;
+    placement.address = best->entry->address;
+    placement.load = best->load;
+    placement.loadAge = known == nullptr ? std::nullopt : known->age(now);
+    placement.unreadTokens = static_cast<std::uint32_t>(best->unread);
+    placement.byPrefix = best->score != 0 && best->rank == 0;
+    return placement;
 }
 
 const RelayPlacement::Candidate *RelayPlacement::firstInOrder(const std::vector<Candidate> &open,
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -37,6 +37,8 @@
     std::string address;
     /** Requests believed to be there. */
     double load = 0.0;
+    /** How old the knowledge of the other nodes' requests there is; absent if there is none. */
+    std::optional<Duration> loadAge;
     /** Prompt tokens that an engine has probably to read before it can answer. */
     std::uint32_t unreadTokens = 0;
     /** True if the upstream was the first choice by the shared parts of the prompt. */
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -82,6 +82,8 @@
     Decision decision = decide("dispatch", row);
     decision.fields.emplace_back("upstream", placement.upstream.text());
     decision.fields.emplace_back("load", std::to_string(static_cast<int>(placement.load)));
+    decision.fields.emplace_back("load_age_ms",
+                                 placement.loadAge.has_value() ? milliseconds(*placement.loadAge) : "none");
     decision.fields.emplace_back("by_prefix", placement.byPrefix ? "true" : "false");
     decision.fields.emplace_back("attempt", std::to_string(row.attempts));
     decision.fields.emplace_back("wait_ms", milliseconds(now - row.arrivedAt));
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -54,6 +54,9 @@
     /** Reports of work to send; to be called once a WorkReportPeriod. */
     std::vector<AddressedWork> reportWork(TimePoint now);
 
+    /** The node to which reports of work go now; nullptr if there is none. */
+    const PeerNode *workCollector(TimePoint now) const { return work_.collector(now); }
+
     /** Takes another relay's report of work; the answer to it, if it asks for one. */
     std::optional<WorkTotals> workReported(const WorkReport &report, TimePoint now);
 
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -114,6 +114,12 @@
     return static_cast<double>(ownTokens_) + others;
 }
 
+std::optional<Duration> UpstreamLoad::age(TimePoint now) const
+{
+    const TimePoint newest = knowsOthers(now) ? knownAt_ : statedAt_;
+    return newest == TimePoint() ? std::nullopt : std::optional<Duration>(now - newest);
+}
+
 double UpstreamLoad::unreadTokens(TimePoint now) const
 {
     const double others = knowsOthers(now) ? static_cast<double>(known_.unreadTokens) : 0.0;
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "servers/relay/relay_messages.h"
 #include "servers/relay/work_reports.h"
@@ -65,6 +66,9 @@
      * large as this node's. */
     double tokens(TimePoint now) const;
 
+    /** How old the knowledge of the other nodes' requests is; absent if there is none. */
+    std::optional<Duration> age(TimePoint now) const;
+
     /** Prompt tokens that are still to be read there, as far as they are known. */
     double unreadTokens(TimePoint now) const;
 
