Read the store again soon after a failure; refuse what arrives late in a stop

Node front-cm-b-2 read the store again 0.36 s after the return and kept the entry for another 2.5 s, until 3.2 s after, when it already counted as in touch. Test: WhatLeftWhileTheStoreWasAwayGetsNothingThreeSecondsAfterItsReturn. It was not run on the code before. Cause: between the end of one answer and the closing of the connection, up to 50 ms later, a next request was still taken. It is refused now, with a time to return. Test: AStoppingNodeRefusesWhatArrivesAndFinishesWhatItHas.

--- a/main/relay/knowledge_reader.cpp
+++ b/main/relay/knowledge_reader.cpp
@@ -1,6 +1,5 @@
 #include "main/relay/knowledge_reader.h"
 
-#include <algorithm>
 #include <random>
 
 namespace GeraniumLever {
@@ -11,9 +10,8 @@
 constexpr double PeriodShareOfApplyTime = 0.65;
 /** Keeps the nodes' reads apart. */
 constexpr double PeriodSpread = 0.1;
-/** Doubles with each further failure in a row; the longest one leaves time to learn of the store's return. */
+/** Not longer: with LapseGrace it must pass before a node counts as in touch with the store again, three seconds. */
 constexpr Duration PauseAfterFailure = std::chrono::milliseconds(250);
-constexpr Duration LongestPauseAfterFailure = std::chrono::milliseconds(1000);
 
 } // namespace
 
@@ -26,8 +24,8 @@
     , clock_(clock)
     , observer_(observer)
     , period_(std::chrono::duration_cast<Duration>(applyTime * PeriodShareOfApplyTime))
-    , configuration_(context)
-    , upstreams_(context)
+    , configurationTimer_(context)
+    , upstreamTimer_(context)
     , random_(std::random_device()())
 {
 }
@@ -41,8 +39,8 @@
 void KnowledgeReader::stop()
 {
     stopped_ = true;
-    configuration_.timer.cancel();
-    upstreams_.timer.cancel();
+    configurationTimer_.cancel();
+    upstreamTimer_.cancel();
 }
 
 void KnowledgeReader::readConfiguration()
@@ -55,7 +53,7 @@
             observer_.configurationRead(
                 std::make_shared<const SiteConfiguration>(std::get<SiteConfiguration>(std::move(result))), asOf);
         }
-        schedule(configuration_, read, &KnowledgeReader::readConfiguration);
+        schedule(configurationTimer_, read, &KnowledgeReader::readConfiguration);
     });
 }
 
@@ -68,19 +66,17 @@
         if (read) {
             observer_.upstreamsRead(std::get<std::vector<UpstreamEntry>>(std::move(result)), asOf);
         }
-        schedule(upstreams_, read, &KnowledgeReader::readUpstreams);
+        schedule(upstreamTimer_, read, &KnowledgeReader::readUpstreams);
     });
 }
 
-void KnowledgeReader::schedule(Reading &reading, bool succeeded, void (KnowledgeReader::*read)())
+void KnowledgeReader::schedule(boost::asio::steady_timer &timer, bool succeeded, void (KnowledgeReader::*read)())
 {
     if (stopped_) {
         return;
     }
-    reading.failurePause =
-        succeeded ? Duration(0) : std::clamp(reading.failurePause * 2, PauseAfterFailure, LongestPauseAfterFailure);
-    reading.timer.expires_after(random_.jittered(succeeded ? period_ : reading.failurePause, PeriodSpread));
-    reading.timer.async_wait([this, read](const boost::system::error_code &failure) {
+    timer.expires_after(random_.jittered(succeeded ? period_ : PauseAfterFailure, PeriodSpread));
+    timer.async_wait([this, read](const boost::system::error_code &failure) {
         if (!failure && !stopped_) {
             (this->*read)();
         }
--- a/main/relay/knowledge_reader.h
+++ b/main/relay/knowledge_reader.h
@@ -40,24 +40,15 @@
 private:
     void readConfiguration();
     void readUpstreams();
-    /** A list or value that is read again and again. */
-    struct Reading
-    {
-        explicit Reading(boost::asio::io_context &context) : timer(context) { }
-
-        boost::asio::steady_timer timer;
-        Duration failurePause { 0 };
-    };
-
-    void schedule(Reading &reading, bool succeeded, void (KnowledgeReader::*read)());
+    void schedule(boost::asio::steady_timer &timer, bool succeeded, void (KnowledgeReader::*read)());
     void noteResult(const std::optional<Error> &error);
 
     PlatformStore &store_;
     const Clock &clock_;
     KnowledgeObserver &observer_;
     Duration period_;
-    Reading configuration_;
-    Reading upstreams_;
+    boost::asio::steady_timer configurationTimer_;
+    boost::asio::steady_timer upstreamTimer_;
     RandomSource random_;
     bool storeLost_ = false;
     bool stopped_ = false;
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -25,7 +25,7 @@
 /** Part of the stop limit after which the process ends whatever is still in flight. */
 constexpr double UsedShareOfStopLimit = 0.86;
 /** An answer of the store takes milliseconds; a slow store answers within this time. */
-constexpr Duration StoreTimeout = std::chrono::milliseconds(800);
+constexpr Duration StoreTimeout = std::chrono::milliseconds(600);
 constexpr unsigned HttpUnavailable = 503;
 constexpr unsigned HttpNotFound = 404;
 
@@ -360,6 +360,7 @@
     {
         const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
         if (now >= stopAt) {
+            system.refuseNew();
             callers.drain();
         }
         if ((now >= stopAt && system.inFlight() == 0 && callers.quiet()) || now >= endAt) {
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -22,6 +22,8 @@
 /** Waiting requests for which an upstream is sought at a time: one that waits for certain engines does not hold up
  * those behind it. */
 constexpr std::size_t MaxTried = 6;
+/** Another node takes the request at once; the pause only keeps callers apart. */
+constexpr Duration StoppingRetryAfter = std::chrono::milliseconds(100);
 /** A repeat needs this much time to be worth its cost. */
 constexpr Duration ShortestUsefulTime = std::chrono::milliseconds(60);
 /** Without any part of an answer for so many targets, a repeatable request is sent elsewhere. */
@@ -148,8 +150,9 @@
 
 void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
 {
-    Result<RelayRow> admitted =
-        admitRelayRequest(request, configuration_, settings_.knowledge, random_.fraction(), now);
+    Result<RelayRow> admitted = refusesNew_
+        ? Result<RelayRow>(Error { ResultCode::NotReady, "the node is stopping", StoppingRetryAfter })
+        : admitRelayRequest(request, configuration_, settings_.knowledge, random_.fraction(), now);
     if (!succeeded(admitted)) {
         const Error &error = errorOf(admitted);
         commands.emplace_back(recordReject(request, error, configuration_, now));
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -63,6 +63,9 @@
     /** Takes the answer to a report of work. */
     void workTotalled(const WorkTotals &totals, TimePoint now);
 
+    /** Every request that arrives from now on is refused: the node ends before it could be answered. */
+    void refuseNew() { refusesNew_ = true; }
+
     void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayHead &head, TimePoint now, RelayCommands &commands);
@@ -128,6 +131,7 @@
     std::map<PoolName, RelayBudget> budgets_;
     std::vector<RelayMeasured> measured_;
     std::uint64_t lastAttempt_ = 0;
+    bool refusesNew_ = false;
     std::uint64_t lastReport_ = 0;
 };
 
--- a/tests/main/relay/relay_node_test.cpp
+++ b/tests/main/relay/relay_node_test.cpp
@@ -235,6 +235,18 @@
     }
 }
 
+TEST_F(RelayNodeTest, WhatLeftWhileTheStoreWasAwayGetsNothingThreeSecondsAfterItsReturn)
+{
+    store_.setFault(StoreFault::Busy);
+    runFor(milliseconds(2500));
+    store_.remove("servers", "p1");
+    store_.remove("servers", "p2");
+    store_.setFault(StoreFault::None);
+    runFor(milliseconds(3000));
+    EXPECT_EQ(ask(request("r1", "GET", "/read/1")).status, 503U);
+    EXPECT_TRUE(ledger_["r1"].empty());
+}
+
 TEST_F(RelayNodeTest, JunkRowsAndConfigurationsChangeNothing)
 {
     store_.put("servers", "junk-1", "no json");
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -331,5 +331,22 @@
     EXPECT_EQ(refusals(request)[0].error.code, ResultCode::NoUpstream);
 }
 
+TEST_F(RelaySystemTest, AStoppingNodeRefusesWhatArrivesAndFinishesWhatItHas)
+{
+    learn();
+    const RequestId before = arrive("/stream/1");
+    system_.refuseNew();
+    const RequestId late = arrive("/stream/1");
+    ASSERT_EQ(refusals(late).size(), 1U);
+    EXPECT_EQ(refusals(late)[0].outcome, Outcome::NotRun);
+    EXPECT_EQ(refusals(late)[0].error.code, ResultCode::NotReady);
+    EXPECT_TRUE(refusals(late)[0].error.retryAfter.has_value());
+    EXPECT_TRUE(dispatches(late).empty());
+    answer(before);
+    end(before);
+    EXPECT_TRUE(accepted(before));
+    EXPECT_EQ(system_.inFlight(), 0U);
+}
+
 } // namespace
 } // namespace GeraniumLever
