--- a/tests/servers/relay/engine_sharing_test.cpp
+++ b/tests/servers/relay/engine_sharing_test.cpp
@@ -21,6 +21,7 @@
     static std::vector<UpstreamName> engines(int count)
     {
         std::vector<UpstreamName> names;
+        names.reserve(static_cast<std::size_t>(count));
         for (int number = 0; number < count; ++number) {
             names.emplace_back("e" + std::to_string(number));
         }
--- a/tests/servers/relay/fleet_load_test.cpp
+++ b/tests/servers/relay/fleet_load_test.cpp
@@ -55,10 +55,12 @@
         configuration.pools[0].name = PoolName("engines");
         configuration.pools[0].engines = true;
         std::vector<UpstreamEntry> upstreams;
+        upstreams.reserve(Engines);
         for (int number = 0; number < Engines; ++number) {
             upstreams.push_back(upstreamOf("e" + std::to_string(number), "engines", Seats));
         }
         std::vector<PeerNode> peers;
+        peers.reserve(Nodes);
         for (int number = 0; number < Nodes; ++number) {
             const std::string name = "n" + std::to_string(number);
             peers.push_back({ NodeName(name), DataCenterName("dc"), name, 0.25 });
--- a/tests/servers/relay/work_exchange_test.cpp
+++ b/tests/servers/relay/work_exchange_test.cpp
@@ -5,7 +5,7 @@
 namespace GeraniumLever {
 namespace {
 
-const WorkAccount OwnWork { { { 1, 2, 300, 40 } }, { { 200, 7 } } };
+const WorkAccount ownWork { { { 1, 2, 300, 40 } }, { { 200, 7 } } };
 
 PeerNode nodeOf(const std::string &name, const std::string &dataCenter, double share = 0.2)
 {
@@ -44,7 +44,7 @@
 TEST_F(WorkExchangeTest, WithoutAListNothingIsSent)
 {
     WorkExchange exchange(NodeName("a1"), DataCenterName("a"), 1);
-    EXPECT_TRUE(exchange.report(OwnWork, clock_.now()).empty());
+    EXPECT_TRUE(exchange.report(ownWork, clock_.now()).empty());
     EXPECT_EQ(exchange.ownTotals(), std::nullopt);
 }
 
@@ -52,16 +52,16 @@
 {
     WorkExchange node = exchangeOf("a1", "a");
     WorkExchange collector = exchangeOf(collectorOf(node).text(), "a");
-    collector.report(OwnWork, clock_.now());
-    const std::vector<AddressedWork> sent = node.report(OwnWork, clock_.now());
+    collector.report(ownWork, clock_.now());
+    const std::vector<AddressedWork> sent = node.report(ownWork, clock_.now());
     ASSERT_EQ(sent.size(), 1U);
     EXPECT_EQ(sent[0].address, "address-of-" + collectorOf(node).text());
     const std::optional<WorkTotals> totals = collector.take(sent[0].report, clock_.now());
     ASSERT_TRUE(totals.has_value());
-    EXPECT_EQ(totals->others, OwnWork) << "the collector's own";
+    EXPECT_EQ(totals->others, ownWork) << "the collector's own";
     EXPECT_TRUE(node.take(*totals));
-    EXPECT_EQ(collector.ownTotals(), OwnWork) << "the node's";
-    node.report(OwnWork, clock_.now());
+    EXPECT_EQ(collector.ownTotals(), ownWork) << "the node's";
+    node.report(ownWork, clock_.now());
     EXPECT_FALSE(node.take(*totals)) << "an answer to an earlier report is out of date";
     EXPECT_FALSE(node.take(WorkTotals { NodeName("stranger"), 2, {} }));
 }
@@ -69,17 +69,17 @@
 TEST_F(WorkExchangeTest, SumsGoToTheOtherDataCentresAndNoFurther)
 {
     WorkExchange collector = exchangeOf(collectorOf(exchangeOf("a1", "a")).text(), "a");
-    const std::vector<AddressedWork> sent = collector.report(OwnWork, clock_.now());
+    const std::vector<AddressedWork> sent = collector.report(ownWork, clock_.now());
     ASSERT_EQ(sent.size(), 2U);
     WorkExchange remote = exchangeOf(collectorOf(exchangeOf("b1", "b")).text(), "b");
     for (const AddressedWork &message : sent) {
         EXPECT_TRUE(message.report.collected);
         EXPECT_EQ(remote.take(message.report, clock_.now()), std::nullopt);
     }
-    for (const AddressedWork &message : remote.report(OwnWork, clock_.now())) {
-        EXPECT_EQ(message.report.work, OwnWork) << "only of its own data centre";
+    for (const AddressedWork &message : remote.report(ownWork, clock_.now())) {
+        EXPECT_EQ(message.report.work, ownWork) << "only of its own data centre";
     }
-    EXPECT_EQ(remote.ownTotals(), OwnWork);
+    EXPECT_EQ(remote.ownTotals(), ownWork);
 }
 
 TEST_F(WorkExchangeTest, ASilentCollectorIsPassedOverForAWhile)
@@ -88,7 +88,7 @@
     const NodeName first = collectorOf(node);
     for (int period = 0; period < 4; ++period) {
         EXPECT_EQ(collectorOf(node), first) << period;
-        node.report(OwnWork, clock_.now());
+        node.report(ownWork, clock_.now());
         clock_.advance(WorkReportPeriod);
     }
     EXPECT_NE(collectorOf(node), first);
@@ -100,7 +100,7 @@
 {
     WorkExchange node = exchangeOf("a5", "a");
     for (int period = 0; period < 20; ++period) {
-        node.report(OwnWork, clock_.now());
+        node.report(ownWork, clock_.now());
         clock_.advance(WorkReportPeriod);
     }
     EXPECT_EQ(collectorOf(node), NodeName("a5"));
