--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -89,6 +89,12 @@
     return tokens;
 }
 
+/** True if the request waits for an engine that has probably kept its parts rather than go to any other. */
+bool ratherWaits(const PlacementQuestion &question)
+{
+    return question.engine && question.sharesPrompts && sharedTokens(question.prompt) >= WorthWaitingTokens;
+}
+
 } // namespace
 
 struct RelayPlacement::Candidate
@@ -212,7 +218,7 @@
     const double bound = mean * AffinityBound + AffinitySlack;
     const double longestBacklog =
         static_cast<double>(toMilliseconds(question.target)) * ReadingShareOfTarget * ReadTokensPerMillisecond;
-    const bool waits = sharedTokens(question.prompt) >= WorthWaitingTokens;
+    const bool waits = ratherWaits(question);
     for (const Candidate &candidate : open) {
         if (waits && candidate.rank >= std::size(KeptChance)) {
             return nullptr;
@@ -339,7 +345,7 @@
                                      const PlacementQuestion &question,
                                      TimePoint now)
 {
-    if (!question.engine || !question.sharesPrompts || sharedTokens(question.prompt) < WorthWaitingTokens) {
+    if (!ratherWaits(question)) {
         return {};
     }
     std::vector<Candidate> meant = candidates(directory, question, now);
