Log what determined the end of a relayed response

Callers received broken-off streams as complete, and the log could not tell why: neither the framing of the upstream's response nor the use of its connection was recorded. The finish and attempt_failed lines now have framing=length|chunked|connection and reused_connection, which separate the two open hypotheses (the connection's end counted as the body's end, or bytes of another response on a pooled connection). relay_process_test checks the three values; it passes.

--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -41,6 +41,15 @@
     return std::chrono::seconds(seconds);
 }
 
+template<typename Parser>
+BodyFraming framingOf(const Parser &parser)
+{
+    if (parser.need_eof()) {
+        return BodyFraming::Connection;
+    }
+    return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
+}
+
 } // namespace
 
 RelayExchange::RelayExchange(boost::asio::io_context &context,
@@ -244,6 +253,8 @@
     headParsed_ = true;
     head_ = codec_.decodeHead(header.result_int(), header);
     head_.attempt = dispatch_.attempt;
+    head_.framing = framingOf(*parser_);
+    head_.connectionReused = pooled_;
     if (!codec_.matchesRequest(*call_, head_, header)) {
         skipResponse_ = true;
         if (!pooled_) {
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -61,6 +61,15 @@
     auto operator<=>(const ReportedLoad &) const = default;
 };
 
+/** What determines the end of a response's body. */
+enum class BodyFraming : std::uint8_t {
+    /** The stated length, or the absence of any body. */
+    Length,
+    Chunked,
+    /** The end of the connection. */
+    Connection,
+};
+
 /** The head of an upstream's response; if the response is not streamed, its body has arrived as well. */
 struct RelayResponseHead
 {
@@ -68,6 +77,9 @@
     unsigned status = 0;
     /** True if the upstream states that it did not run the request. */
     bool notRun = false;
+    BodyFraming framing = BodyFraming::Length;
+    /** True if an earlier exchange has used the connection. */
+    bool connectionReused = false;
     std::optional<ReportedLoad> load;
 
     auto operator<=>(const RelayResponseHead &) const = default;
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -23,6 +23,29 @@
     return std::to_string(toMilliseconds(duration));
 }
 
+const char *framingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::Connection:
+        return "connection";
+    }
+    return "none";
+}
+
+/** Adds nothing if no response was forwarded. */
+void addResponseFields(Decision &decision, const RelayRow &row)
+{
+    if (!row.firstByte.has_value()) {
+        return;
+    }
+    decision.fields.emplace_back("framing", framingName(row.framing));
+    decision.fields.emplace_back("reused_connection", row.connectionReused ? "true" : "false");
+}
+
 } // namespace
 
 Decision recordConfiguration(const SiteConfiguration &configuration, ConfigurationVersion before)
@@ -106,6 +129,7 @@
     decision.fields.emplace_back("code", std::string(resultCodeName(row.lastFailure)));
     decision.fields.emplace_back("attempt", std::to_string(row.attempts));
     decision.fields.emplace_back("after_ms", milliseconds(now - row.dispatchedAt));
+    addResponseFields(decision, row);
     return decision;
 }
 
@@ -118,6 +142,7 @@
     decision.fields.emplace_back("attempts", std::to_string(row.attempts));
     decision.fields.emplace_back("first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
     decision.fields.emplace_back("total_ms", milliseconds(now - row.arrivedAt));
+    addResponseFields(decision, row);
     return decision;
 }
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -59,6 +59,9 @@
     /** When the last part of the response arrived. */
     TimePoint progressAt;
     std::optional<Duration> firstByte;
+    /** Of the last response that was forwarded. */
+    BodyFraming framing = BodyFraming::Length;
+    bool connectionReused = false;
     /** Attempts that may have reached an upstream, including the current one. */
     std::uint32_t attempts = 0;
     /** Attempts that failed to connect to an upstream. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -336,6 +336,8 @@
     load.noteRead(std::exchange(row->unreadTokens, 0));
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
+    row->framing = head.framing;
+    row->connectionReused = head.connectionReused;
     if (!row->firstByte.has_value()) {
         row->firstByte = now - row->arrivedAt;
     }
--- a/tests/system/relay_process_test.cpp
+++ b/tests/system/relay_process_test.cpp
@@ -160,5 +160,23 @@
     EXPECT_NE(text.find("decision=attempt_failed request=r1"), std::string::npos);
 }
 
+TEST_F(RelayProcessTest, LogTellsWhatDeterminedTheEndOfAResponse)
+{
+    RelayProcess &process = addProcess();
+    sendRequestToProcess(process, request("r1", "GET", "/read/1", "", "Stand-In: unframed\r\n"));
+    sendRequestToProcess(process, request("r2", "GET", "/read/1"));
+    sendRequestToProcess(process, request("r3", "POST", "/stream/1", "prompt", "Stand-In: events=2\r\n"));
+    ASSERT_TRUE(runUntil(
+        [&]() { return readFile(process.outputPath).find("decision=finish request=r3") != std::string::npos; }));
+    const std::string text = readFile(process.outputPath);
+    const auto finishLine = [&text](const std::string &request) {
+        const std::size_t begin = text.find("decision=finish request=" + request);
+        return text.substr(begin, text.find('\n', begin) - begin);
+    };
+    EXPECT_NE(finishLine("r1").find("framing=connection"), std::string::npos) << finishLine("r1");
+    EXPECT_NE(finishLine("r2").find("framing=length"), std::string::npos) << finishLine("r2");
+    EXPECT_NE(finishLine("r3").find("framing=chunked"), std::string::npos) << finishLine("r3");
+}
+
 } // namespace
 } // namespace GeraniumLever
