Reproduce streams that end inside an event and look complete

The stand-in server can now do what the failing server did: send a stream without length or chunks and close in an orderly way inside an event (unframed, cut), end the body's framing inside an event (short), stop before the first event (stop), and reset instead (hard).

Two of the new tests fail, with fresh connections and one request each, so no other exchange takes part: StreamThatEndsInsideAnEventNeverLooksComplete for "short=3" and "unframed cut=3", StreamThatEndsBeforeItsFirstEventNeverLooksComplete for "unframed stop=0". With a reset, with chunks that stop, and on resumable routes the answer is handled correctly today.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -17,6 +17,10 @@
     std::uint64_t events = 0;
     std::uint64_t gap = 0;
     std::optional<std::uint64_t> cut;
+    std::optional<std::uint64_t> shortAfter;
+    std::optional<std::uint64_t> stopAfter;
+    bool unframed = false;
+    bool resets = false;
     std::string fault;
 };
 
@@ -40,6 +44,14 @@
             applies = firstRun;
         } else if (word.starts_with("cut=") && applies) {
             script.cut = numberOf(word);
+        } else if (word.starts_with("short=") && applies) {
+            script.shortAfter = numberOf(word);
+        } else if (word.starts_with("stop=") && applies) {
+            script.stopAfter = numberOf(word);
+        } else if (word == "unframed" && applies) {
+            script.unframed = true;
+        } else if (word == "hard" && applies) {
+            script.resets = true;
         } else if (applies) {
             script.fault = word;
         }
@@ -74,6 +86,27 @@
     std::uint64_t nextEvent = 1;
     bool over = false;
     boost::asio::steady_timer timer;
+
+    void sendPiece(const std::string &bytes) { session->send(script.unframed ? bytes : chunkOf(bytes)); }
+
+    void breakOff()
+    {
+        if (script.resets) {
+            session->reset();
+            return;
+        }
+        session->closeAfterSending();
+    }
+
+    void endBody()
+    {
+        if (script.unframed) {
+            session->closeAfterSending();
+            return;
+        }
+        session->send("0\r\n\r\n");
+        session->finish();
+    }
 };
 
 std::string standInBody(const std::string &method, const std::string &target, const std::string &body)
@@ -188,8 +221,8 @@
     if (job->script.events > 0 && job->script.fault.empty()) {
         session->send(head(200,
                            job->requestId,
-                           "Server-Seal: " + settings_.id
-                               + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"));
+                           "Server-Seal: " + settings_.id + "\r\nContent-Type: text/event-stream\r\n"
+                               + (job->script.unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n"));
         sendNextEvent(job);
         return;
     }
@@ -208,46 +241,58 @@
         if (error || job->over) {
             return;
         }
-        if (job->nextEvent > job->script.events) {
-            --running_;
-            job->over = true;
-            job->session->whenPeerCloses(nullptr);
-            job->session->send("0\r\n\r\n");
-            job->session->finish();
+        const Script &script = job->script;
+        const auto reached = [&job](const std::optional<std::uint64_t> &count) {
+            return count.has_value() && job->nextEvent > *count;
+        };
+        if (job->nextEvent > script.events) {
+            release(job);
+            job->endBody();
             return;
         }
         const std::string event = standInEvent(job->target, job->body, job->nextEvent);
-        if (job->script.cut.has_value() && job->nextEvent > *job->script.cut) {
-            job->session->send(chunkOf(event.substr(0, event.size() / 2)));
-            job->session->closeAfterSending();
+        if (reached(script.cut) || reached(script.shortAfter)) {
+            job->sendPiece(event.substr(0, event.size() / 2));
+        }
+        if (reached(script.shortAfter)) {
+            release(job);
+            job->endBody();
             return;
         }
-        job->session->send(chunkOf(event));
+        if (reached(script.cut) || reached(script.stopAfter)) {
+            job->breakOff();
+            return;
+        }
+        job->sendPiece(event);
         ++job->nextEvent;
         sendNextEvent(job);
     });
 }
 
+void ServerStandIn::release(const std::shared_ptr<Job> &job)
+{
+    --running_;
+    job->over = true;
+    job->session->whenPeerCloses(nullptr);
+}
+
 void ServerStandIn::answerWhole(const std::shared_ptr<Job> &job)
 {
     const Script &script = job->script;
     const bool failed = script.fault == "fail";
     const std::string body = failed ? "failed\n" : standInBody(job->method, job->target, job->body);
     const std::string requestId = script.fault == "foreign" ? "another" : job->requestId;
-    const bool unframed = script.fault == "unframed";
-    const std::string length = unframed ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    const std::string length = script.unframed ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     const std::string answer =
         head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n") + body;
-    --running_;
-    job->over = true;
-    job->session->whenPeerCloses(nullptr);
+    release(job);
     if (script.cut.has_value()) {
         job->session->send(answer.substr(0, answer.size() - body.size() / 2));
-        job->session->closeAfterSending();
+        job->breakOff();
         return;
     }
     job->session->send(script.fault == "extra" ? answer + answer : answer);
-    if (unframed) {
+    if (script.unframed) {
         job->session->closeAfterSending();
         return;
     }
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -52,6 +52,9 @@
  *   gap=MS           pause before each event, and before an answer without events
  *   first            what follows holds only for the first run of the request
  *   cut=N            closes in the middle of event N + 1, or of the body
+ *   short=N          ends the body in the middle of event N + 1 as if it were complete
+ *   stop=N           closes after event N
+ *   hard             resets the connection where it would close it
  *   reset            resets the connection in place of an answer
  *   fail             answers 500
  *   full             answers 503 and states that nothing ran
@@ -59,7 +62,7 @@
  *   foreign          answers with another request's identifier
  *   junk             sends bytes that are no answer
  *   mute             gives no answer
- *   unframed         ends the body with the connection
+ *   unframed         sends neither a length nor chunks; the body ends with the connection
  */
 class ServerStandIn
 {
@@ -83,6 +86,8 @@
     void handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
     void run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
     void sendNextEvent(const std::shared_ptr<Job> &job);
+    /** The job no longer counts as running. */
+    void release(const std::shared_ptr<Job> &job);
     void answerWhole(const std::shared_ptr<Job> &job);
     std::string head(unsigned status, const std::string &requestId, const std::string &fields) const;
 
--- a/tests/main/relay/relay_node_test.cpp
+++ b/tests/main/relay/relay_node_test.cpp
@@ -115,9 +115,54 @@
     EXPECT_EQ(ledger_["r1"].size(), 1U);
 }
 
+TEST_F(RelayNodeTest, StreamThatEndsInsideAnEventNeverLooksComplete)
+{
+    for (const std::string ending : { "cut=3", "short=3", "unframed cut=3", "unframed cut=3 hard" }) {
+        const std::string id = "r-" + ending;
+        const ReceivedResponse response =
+            sendRequest(request(id, "POST", "/stream/1", "prompt", "Stand-In: events=8 gap=5 " + ending + "\r\n"));
+        EXPECT_EQ(response.status, 200U) << ending;
+        EXPECT_FALSE(response.bodyComplete) << ending;
+        EXPECT_EQ(ledger_[id].size(), 1U) << ending;
+    }
+}
+
+TEST_F(RelayNodeTest, StreamThatEndsBeforeItsFirstEventNeverLooksComplete)
+{
+    for (const std::string ending : { "stop=0", "unframed stop=0", "unframed stop=0 hard" }) {
+        const ReceivedResponse response = sendRequest(
+            request("r-" + ending, "POST", "/stream/1", "prompt", "Stand-In: events=8 gap=5 " + ending + "\r\n"));
+        EXPECT_FALSE(response.bodyComplete && response.status == 200U) << ending;
+    }
+}
+
+TEST_F(RelayNodeTest, ResumableStreamThatEndsInsideAnEventIsResumed)
+{
+    for (const std::string ending : { "cut=3", "short=3", "unframed cut=3", "unframed cut=3 hard" }) {
+        const std::string id = "r-" + ending;
+        const ReceivedResponse response =
+            sendRequest(request(id, "POST", "/live/1", "prompt", "Stand-In: events=8 gap=5 first " + ending + "\r\n"));
+        EXPECT_TRUE(response.bodyComplete) << ending;
+        EXPECT_EQ(response.body, standInEvents("/live/1", "prompt", 8)) << ending;
+        ASSERT_EQ(ledger_[id].size(), 2U) << ending;
+        EXPECT_EQ(ledger_[id][1].lastEventId, 3U) << ending;
+    }
+}
+
+TEST_F(RelayNodeTest, StreamThatEndsWithItsConnectionAfterAnEventIsComplete)
+{
+    for (const std::string path : { "/stream/1", "/live/1" }) {
+        const ReceivedResponse response =
+            sendRequest(request("r" + path, "POST", path, "prompt", "Stand-In: events=8 gap=5 unframed\r\n"));
+        EXPECT_TRUE(response.bodyComplete) << path;
+        EXPECT_EQ(response.body, standInEvents(path, "prompt", 8)) << path;
+    }
+}
+
 TEST_F(RelayNodeTest, BrokenResponseToIdempotentRequestIsReplaced)
 {
-    for (const std::string fault : { "cut=0", "reset", "fail", "foreign", "junk" }) {
+    for (const std::string fault :
+         { "cut=0", "cut=0 hard", "unframed cut=0 hard", "reset", "fail", "foreign", "junk" }) {
         const std::string id = "r-" + fault;
         const ReceivedResponse response =
             sendRequest(request(id, "GET", "/read/1", "", "Stand-In: first " + fault + "\r\n"));
