Do not take the end of a body for the end of a stream inside an event

Seen by callers: a stream that a crashing server had broken off arrived with its end mark, so a part of an answer passed for the whole.

Cause: the relay knew three ends of a body (length, last chunk, orderly end of the connection) and took each for the end of the answer. A server without framing that dies closes its connection the same way as one that is done. Only resumable streams were split into events, so only there an unfinished event was noticed; on all other streams the relay looked at the framing alone.

Evidence: the node of each affected request logs outcome=answered one millisecond after the server's run crashed; its route is not resumable, so its attempts never use a pooled connection and no bytes of another exchange can have ended it.

Change: the exchange follows the boundaries of events in every event stream, resumable or not, forwarded or buffered, whatever frames it. A body that ends inside an event, or with its connection before any event, is a broken exchange: it is resumed or repeated where that is allowed, and otherwise the caller's connection is aborted without an end mark. The framer now scans each byte once and also knows lines that end with CR. The soak draws streams without framing, short ones and resets.

--- a/drivers/relay/event_framer.cpp
+++ b/drivers/relay/event_framer.cpp
@@ -1,54 +1,70 @@
 #include "drivers/relay/event_framer.h"
 
+#include <algorithm>
+
 namespace GeraniumLever {
 
 namespace {
 
 constexpr std::string_view IdField = "id:";
+constexpr std::string_view LineEnds = "\r\n";
+
+} // namespace
 
-/** Position after the blank line that terminates an event; npos if it has not arrived. */
-std::size_t endOfEvent(std::string_view text, std::size_t from)
+std::string EventFramer::feed(std::string_view bytes)
 {
-    for (std::size_t line = text.find('\n', from); line != std::string_view::npos; line = text.find('\n', line + 1)) {
-        if (text.substr(line + 1, 1) == "\n") {
-            return line + 2;
-        }
-        if (text.substr(line + 1, 2) == "\r\n") {
-            return line + 3;
-        }
+    const std::size_t end = scan(bytes);
+    pending_.append(bytes.substr(0, end));
+    if (end == 0) {
+        pending_.append(bytes);
+        return {};
     }
-    return std::string_view::npos;
+    std::string completeEvents(bytes.substr(end));
+    completeEvents.swap(pending_);
+    recordIds(completeEvents);
+    return completeEvents;
 }
 
-} // namespace
+void EventFramer::track(std::string_view bytes)
+{
+    scan(bytes);
+}
 
-std::string EventFramer::feed(std::string_view bytes)
+std::size_t EventFramer::scan(std::string_view bytes)
 {
-    pending_.append(bytes);
-    std::size_t begin = 0;
-    for (std::size_t end = endOfEvent(pending_, 0); end != std::string::npos; end = endOfEvent(pending_, begin)) {
-        recordId(std::string_view(pending_).substr(begin, end - begin));
-        begin = end;
+    std::size_t end = 0;
+    for (std::size_t index = 0; index < bytes.size(); ++index) {
+        const char byte = bytes[index];
+        const bool endsSameLine = byte == '\n' && afterCarriageReturn_;
+        afterCarriageReturn_ = byte == '\r';
+        if (byte != '\n' && byte != '\r') {
+            lineEmpty_ = false;
+            insideEvent_ = true;
+            continue;
+        }
+        if (!endsSameLine && lineEmpty_) {
+            hasCompleteEvent_ = hasCompleteEvent_ || insideEvent_;
+            insideEvent_ = false;
+        }
+        lineEmpty_ = true;
+        if (!insideEvent_) {
+            end = index + 1;
+        }
     }
-    std::string completeEvents = pending_.substr(0, begin);
-    pending_.erase(0, begin);
-    return completeEvents;
+    return end;
 }
 
-void EventFramer::recordId(std::string_view event)
+void EventFramer::recordIds(std::string_view events)
 {
-    for (std::size_t begin = 0; begin < event.size();) {
-        const std::size_t end = std::min(event.find('\n', begin), event.size());
-        std::string_view line = event.substr(begin, end - begin);
+    for (std::size_t begin = 0; begin < events.size();) {
+        const std::size_t end = std::min(events.find_first_of(LineEnds, begin), events.size());
+        std::string_view line = events.substr(begin, end - begin);
         begin = end + 1;
         if (!line.starts_with(IdField)) {
             continue;
         }
         line.remove_prefix(IdField.size());
         line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
         lastId_ = std::string(line);
     }
 }
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -23,6 +23,7 @@
 /** Fraction of the stated idle limit that is used, since the upstream starts counting earlier. */
 constexpr double IdleLimitFraction = 0.6;
 constexpr unsigned StatusContinue = 100;
+constexpr std::string_view EventStreamType = "text/event-stream";
 
 /** Seconds of the "timeout=N" parameter of a Keep-Alive field. */
 std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view field)
@@ -50,6 +51,18 @@
     return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
+/** True if the body consists of server-sent events, which a response on a streamed route is assumed to do unless it
+ *  states another type. */
+bool isEventStream(const http::response_header<> &header, bool streamed)
+{
+    if (http::to_status_class(header.result()) != http::status_class::successful
+        || header.count(http::field::content_encoding) != 0) {
+        return false;
+    }
+    const std::string_view type = header[http::field::content_type];
+    return type.empty() ? streamed : boost::beast::iequals(type.substr(0, EventStreamType.size()), EventStreamType);
+}
+
 } // namespace
 
 RelayExchange::RelayExchange(boost::asio::io_context &context,
@@ -267,6 +280,7 @@
     response_.reason = std::string(header.reason());
     response_.fields = header;
     removeHopByHopFields(response_.fields);
+    eventStream_ = isEventStream(header, dispatch_.streamed);
     if (!dispatch_.streamed && !head_.notRun) {
         return true;
     }
@@ -287,6 +301,9 @@
     if (skipResponse_ || piece.empty()) {
         return true;
     }
+    if (eventStream_ && !forwardsWholeEvents()) {
+        framer_.track(piece);
+    }
     if (headForwarded_) {
         forwardBody(std::move(piece));
         return !finished_;
@@ -303,7 +320,7 @@
 
 void RelayExchange::forwardBody(std::string piece)
 {
-    if (dispatch_.resumable && dispatch_.streamed) {
+    if (forwardsWholeEvents()) {
         piece = framer_.feed(piece);
         if (framer_.pendingBytes() > MaxEventBytes) {
             fail(RelayFailure::Kind::InvalidResponse);
@@ -315,9 +332,21 @@
     }
 }
 
+bool RelayExchange::forwardsWholeEvents() const
+{
+    return dispatch_.resumable && dispatch_.streamed;
+}
+
+bool RelayExchange::isCutOff() const
+{
+    // A connection that ends the body ends the same way if the upstream dies.
+    const bool neverBegan = eventStream_ && parser_->need_eof() && !framer_.hasCompleteEvent();
+    return framer_.isInsideEvent() || neverBegan;
+}
+
 void RelayExchange::complete()
 {
-    if (framer_.pendingBytes() != 0) {
+    if (isCutOff()) {
         fail(RelayFailure::Kind::Broken);
         return;
     }
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -65,6 +65,10 @@
     /** Both return false if the exchange has finished. */
     bool processHead();
     bool processBody();
+    /** True if only complete events are forwarded, so that the stream can be resumed after any of them. */
+    bool forwardsWholeEvents() const;
+    /** True if the received body cannot be complete although its framing or its connection has ended. */
+    bool isCutOff() const;
     void complete();
     void fail(RelayFailure::Kind kind);
     bool close();
@@ -90,6 +94,7 @@
     bool pooled_ = false;
     bool headParsed_ = false;
     bool headForwarded_ = false;
+    bool eventStream_ = false;
     /** The response is discarded: it is informational, or belongs to an earlier request. */
     bool skipResponse_ = false;
     bool writing_ = false;
--- a/tests/system/relay_soak_test.cpp
+++ b/tests/system/relay_soak_test.cpp
@@ -81,12 +81,10 @@
         const std::string method = !streamed && !call.atMostOnce ? "GET" : "POST";
         const std::string sent = method == "GET" ? "" : body;
         call.expected = streamed ? standInEvents(path, sent, 10) : standInBody(method, path, sent);
-        // The last three apply only to responses that are not streamed.
-        constexpr const char *Faults[] = { "cut=2", "reset", "fail", "full", "junk", "extra", "foreign", "unframed" };
-        constexpr std::size_t StreamFaults = 5;
+        const std::vector<std::string> &faults = streamed ? streamFaults_ : bodyFaults_;
         std::string script = streamed ? "events=10 gap=15" : "gap=20";
         if (random_->below(6) == 0) {
-            script += std::string(" first ") + Faults[random_->below(streamed ? StreamFaults : std::size(Faults))];
+            script += " first " + faults[random_->below(faults.size())];
         }
         std::string text = request(call.id, method, path, sent, "Stand-In: " + script + "\r\n");
         if (call.withRevocableKey) {
@@ -244,6 +242,13 @@
         }
     }
 
+    const std::vector<std::string> streamFaults_ {
+        "cut=2", "cut=2 hard", "short=2", "unframed", "unframed cut=2", "unframed cut=2 hard", "unframed stop=0",
+        "reset", "fail",       "full",    "junk"
+    };
+    const std::vector<std::string> bodyFaults_ { "cut=2", "cut=2 hard", "unframed", "unframed cut=2 hard",
+                                                 "reset", "fail",       "full",     "junk",
+                                                 "extra", "foreign" };
     const std::vector<std::string> names_ { "p1", "p2", "e1", "e2" };
     std::unique_ptr<RandomSource> random_;
     std::deque<SoakCall> calls_;
