Pass a server's failure on whole on resumable routes

Seen by callers: on a resumable route a server's final failure (500, 504, or any answer that is not a stream of events) ended as a closed connection without an answer.

Cause: the exchange split every body on such a route into events, whatever the response said. A failure has none, so its body stayed in the buffer and the exchange counted as broken off. The relay logic, too, took resumability from the route alone and would have joined such a body with another attempt's.

Evidence: FailureOnResumableRouteReachesTheCallerWhole got no status at all before this change, with a length and without; in ResponseWithoutEventsIsNeverJoinedWithAnother the response was not aborted. Both pass now.

Change: only a successful stream of events is forwarded event by event, and only such a response is resumed. A failure on a streamed route is buffered like any other body, so that a broken one is replaced and never passed on in part.

--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -51,12 +51,16 @@
     return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
+bool isSuccessful(const http::response_header<> &header)
+{
+    return http::to_status_class(header.result()) == http::status_class::successful;
+}
+
 /** True if the body consists of server-sent events, which a response on a streamed route is assumed to do unless it
  *  states another type. */
 bool isEventStream(const http::response_header<> &header, bool streamed)
 {
-    if (http::to_status_class(header.result()) != http::status_class::successful
-        || header.count(http::field::content_encoding) != 0) {
+    if (!isSuccessful(header) || header.count(http::field::content_encoding) != 0) {
         return false;
     }
     const std::string_view type = header[http::field::content_type];
@@ -281,7 +285,9 @@
     response_.fields = header;
     removeHopByHopFields(response_.fields);
     eventStream_ = isEventStream(header, dispatch_.streamed);
-    if (!dispatch_.streamed && !head_.notRun) {
+    head_.resumable = forwardsWholeEvents();
+    const bool forwardsImmediately = dispatch_.streamed && isSuccessful(header);
+    if (!forwardsImmediately && !head_.notRun) {
         return true;
     }
     forwardHead();
@@ -334,7 +340,7 @@
 
 bool RelayExchange::forwardsWholeEvents() const
 {
-    return dispatch_.resumable && dispatch_.streamed;
+    return dispatch_.resumable && dispatch_.streamed && eventStream_;
 }
 
 bool RelayExchange::isCutOff() const
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -65,7 +65,8 @@
     /** Both return false if the exchange has finished. */
     bool processHead();
     bool processBody();
-    /** True if only complete events are forwarded, so that the stream can be resumed after any of them. */
+    /** True if only complete events are forwarded, so that the stream can be resumed after any of them. Not known
+     *  before the head has been parsed. */
     bool forwardsWholeEvents() const;
     /** True if the received body cannot be complete although its framing or its connection has ended. */
     bool isCutOff() const;
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -77,6 +77,8 @@
     unsigned status = 0;
     /** True if the upstream states that it did not run the request. */
     bool notRun = false;
+    /** True if complete events are forwarded one by one, so that another upstream can resume after any of them. */
+    bool resumable = false;
     BodyFraming framing = BodyFraming::Length;
     /** True if an earlier exchange has used the connection. */
     bool connectionReused = false;
@@ -137,7 +139,7 @@
     /** True if the upstream is a language-model engine. */
     bool engine = false;
     bool streamed = false;
-    /** True if the response is forwarded event by event and can be resumed at another upstream after any event. */
+    /** True if a stream of events may be resumed at another upstream after any event. */
     bool resumable = false;
     /** True if the caller has already received part of the response. */
     bool resumes = false;
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -59,6 +59,8 @@
     /** When the last part of the response arrived. */
     TimePoint progressAt;
     std::optional<Duration> firstByte;
+    /** True if the response that the caller receives can be resumed at another upstream. */
+    bool resumable = false;
     /** Of the last response that was forwarded. */
     BodyFraming framing = BodyFraming::Length;
     bool connectionReused = false;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -320,7 +320,8 @@
         retry(*row, ResultCode::UpstreamFull, now, commands);
         return;
     }
-    if (head.status >= HttpServerError || (row->firstByte.has_value() && head.status != HttpOk)) {
+    const bool continues = head.status == HttpOk && head.resumable;
+    if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
         if (row->firstByte.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
             commands.emplace_back(RelayCancel { head.attempt });
@@ -336,6 +337,7 @@
     load.noteRead(std::exchange(row->unreadTokens, 0));
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
+    row->resumable = head.resumable;
     row->framing = head.framing;
     row->connectionReused = head.connectionReused;
     if (!row->firstByte.has_value()) {
@@ -401,7 +403,7 @@
 {
     const bool attemptsExhausted = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
     const bool mustNotRunAgain = row.mayHaveRun && !row.isRetryable();
-    const bool cannotResume = row.firstByte.has_value() && !row.route->resumable;
+    const bool cannotResume = row.firstByte.has_value() && !row.resumable;
     return !row.callerGone && !attemptsExhausted && !mustNotRunAgain && !cannotResume
         && row.deadline - now >= MinTimeForRetry;
 }
--- a/tests/main/relay/relay_node_test.cpp
+++ b/tests/main/relay/relay_node_test.cpp
@@ -159,6 +159,17 @@
     }
 }
 
+TEST_F(RelayNodeTest, FailureOnResumableRouteReachesTheCallerWhole)
+{
+    for (const std::string framing : { "", "unframed " }) {
+        const ReceivedResponse response = sendRequest(
+            request("r-" + framing, "POST", "/live/1", "prompt", "Stand-In: events=8 " + framing + "fail\r\n"));
+        EXPECT_EQ(response.status, 500U) << framing;
+        EXPECT_EQ(response.body, "failed\n") << framing;
+        EXPECT_TRUE(response.bodyComplete) << framing;
+    }
+}
+
 TEST_F(RelayNodeTest, BrokenResponseToIdempotentRequestIsReplaced)
 {
     for (const std::string fault :
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -124,6 +124,7 @@
     RelayResponseHead head;
     head.attempt = dispatches(request).back().attempt;
     head.status = status;
+    head.resumable = status == 200 && dispatches(request).back().resumable;
     system_.headArrived(head, clock_.now(), commands_);
 }
 
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -256,6 +256,19 @@
     EXPECT_TRUE(broken(request));
 }
 
+TEST_F(RelaySystemTest, ResponseWithoutEventsIsNeverJoinedWithAnother)
+{
+    configure();
+    const RequestId request = arrive("/live/1");
+    RelayResponseHead head;
+    head.attempt = dispatches(request).back().attempt;
+    head.status = 200;
+    system_.headArrived(head, clock_.now(), commands_);
+    fail(request);
+    EXPECT_EQ(dispatches(request).size(), 1U);
+    EXPECT_TRUE(broken(request));
+}
+
 TEST_F(RelaySystemTest, StalledStreamIsResumedAtAnotherUpstream)
 {
     configure();
