Log the software version of upstreams and the stream that a request takes up

Callers received streams with events from two software versions, and the log could not tell at which step: it named neither the version of an upstream nor the request whose stream was taken up again.

--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -47,6 +47,10 @@
     /** Time that the caller will wait, counted from arrival; absent if not stated. */
     std::optional<Duration> deadline;
     PromptInfo prompt;
+    /** Identifier of the last event that the caller has; empty if the request takes up no stream. */
+    std::string lastEventId;
+    /** The caller's identifier for the request that began the stream; empty if not stated. */
+    std::string resumedRequest;
 
     auto operator<=>(const RelayRequest &) const = default;
 };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -202,6 +202,7 @@
     Placement placement;
     placement.upstream = best->entry->name;
     placement.address = best->entry->address;
+    placement.version = best->entry->version;
     placement.load = best->load;
     placement.loadAge = upstreamLoad == nullptr ? std::nullopt : upstreamLoad->age(now);
     placement.unreadTokens = static_cast<std::uint32_t>(best->unreadTokens);
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -35,6 +35,8 @@
 {
     UpstreamName upstream;
     std::string address;
+    /** Version of the upstream's software. */
+    std::string version;
     /** Estimated number of requests at the upstream. */
     double load = 0.0;
     /** Age of the information about other nodes' requests there; absent if there is none. */
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -104,6 +104,10 @@
 {
     Decision decision = requestDecision("dispatch", row);
     decision.fields.emplace_back("upstream", placement.upstream.text());
+    decision.fields.emplace_back("version", placement.version);
+    if (!row.request.lastEventId.empty()) {
+        decision.fields.emplace_back("resumes", row.request.resumedRequest);
+    }
     decision.fields.emplace_back("load", std::to_string(static_cast<int>(placement.load)));
     decision.fields.emplace_back("load_age_ms",
                                  placement.loadAge.has_value() ? milliseconds(*placement.loadAge) : "none");
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -18,6 +18,8 @@
     /** "a.b.c.d:port". */
     std::string address;
     DataCenterName dataCenter;
+    /** Version of its software; versions have no order. Empty if not stated. */
+    std::string version;
     /** Requests that it serves concurrently. */
     std::uint32_t seats = 1;
     /** True if it is draining and must get no new requests. */
--- a/tests/platform/platform_header_codec_test.cpp
+++ b/tests/platform/platform_header_codec_test.cpp
@@ -25,10 +25,14 @@
     RelayCall call = callOf({ { "Deadline-Ms", "1500" },
                               { "Authorization", "Bearer k" },
                               { "Token-Counts", "1460,80" },
-                              { "Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,odd,e4402b7d:250" } });
+                              { "Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,odd,e4402b7d:250" },
+                              { "Last-Event-Id", "7" },
+                              { "Resumes", "r0" } });
     const PlatformHeaderCodec codec;
     ASSERT_EQ(codec.decodeRequest(call), std::nullopt);
     EXPECT_EQ(call.attributes.callerId, "r1");
+    EXPECT_EQ(call.attributes.lastEventId, "7");
+    EXPECT_EQ(call.attributes.resumedRequest, "r0");
     EXPECT_EQ(call.attributes.path, "/a/b");
     EXPECT_EQ(call.attributes.key, "k");
     EXPECT_EQ(call.attributes.deadline, std::chrono::milliseconds(1500));
