Reproduce streams that go on at another software version

The stand-in servers now state the version of their software, and the relay processes of the system tests have names and peer addresses of their own, so that they find each other as on the platform.

Five new tests fail, with two engines of each of two versions: a stream that breaks is resumed at either version by its node (BrokenStreamNeverGoesOnAtAnotherVersion), a caller that takes a stream up again gets either version at the same node (StreamTakenUpByItsCallerNeverGoesOnAtAnotherVersion) and at two others after its node was killed (StreamsOfAKilledNodeGoOnOnlyAtTheVersionThatBeganThem); a stream of unknown origin, and one whose version is gone, goes on as well.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -146,7 +146,7 @@
     return boost::json::serialize(boost::json::object { { "service", settings_.service },
                                                         { "address", address() },
                                                         { "zone", settings_.zone },
-                                                        { "version", "v1" },
+                                                        { "version", settings_.version },
                                                         { "slots", settings_.slots },
                                                         { "state", state },
                                                         { "cold_left_ms", 0 },
@@ -195,7 +195,8 @@
                     std::string(request["Tenant"]),
                     std::string(request["Deadline-Ms"]),
                     "",
-                    0 };
+                    0,
+                    settings_.version };
     for (const char *name : { "Authorization", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "Kv-Fetch" }) {
         run.unexpected += std::string(request[name]);
     }
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -26,6 +26,8 @@
     /** Fields that only the system may set, and the caller's key, as far as they arrived. */
     std::string unexpected;
     std::uint64_t lastEventId = 0;
+    /** The server's software version. */
+    std::string version;
 
     auto operator<=>(const ServerRun &) const = default;
 };
@@ -41,6 +43,8 @@
     std::string service;
     std::string zone = "dc";
     std::uint32_t slots = 8;
+    /** Of its software. */
+    std::string version = "v1";
 
     bool operator==(const ServerSettings &) const = default;
 };
--- a/tests/main/relay/relay_node_fixture.cpp
+++ b/tests/main/relay/relay_node_fixture.cpp
@@ -117,10 +117,13 @@
     store_.put("op", "config", text);
 }
 
-ServerStandIn &RelayNodeFixture::addServer(const std::string &id, const std::string &service, std::uint32_t slots)
+ServerStandIn &RelayNodeFixture::addServer(const std::string &id,
+                                           const std::string &service,
+                                           std::uint32_t slots,
+                                           const std::string &version)
 {
     servers_.push_back(std::make_unique<ServerStandIn>(
-        ServerSettings { "127.0.0.1:0", id, service, "dc", slots }, loop_.context(), ledger_));
+        ServerSettings { "127.0.0.1:0", id, service, "dc", slots, version }, loop_.context(), ledger_));
     registerServer(*servers_.back(), id);
     return *servers_.back();
 }
--- a/tests/main/relay/relay_node_fixture.h
+++ b/tests/main/relay/relay_node_fixture.h
@@ -35,7 +35,10 @@
     /** Writes a configuration with the version, keys and extra routes below into the store. */
     void writeConfiguration();
     /** Starts a server and registers it in the store. */
-    ServerStandIn &addServer(const std::string &id, const std::string &service, std::uint32_t slots = 8);
+    ServerStandIn &addServer(const std::string &id,
+                             const std::string &service,
+                             std::uint32_t slots = 8,
+                             const std::string &version = "v1");
     void registerServer(const ServerStandIn &server, const std::string &id, const std::string &state = "ready");
 
     /** Starts the node and waits until it can serve requests. */
--- /dev/null
+++ b/tests/main/relay/relay_resumption_test.cpp
@@ -0,0 +1,94 @@
+/** Tests that a stream never has events of two software versions, with one node. */
+#include "tests/main/relay/relay_node_fixture.h"
+
+namespace GeraniumLever {
+namespace {
+
+constexpr int Streams = 12;
+
+class RelayResumptionTest : public RelayNodeFixture
+{
+protected:
+    RelayResumptionTest()
+    {
+        writeConfiguration();
+        addServer("e1", "engines", 32, "v1");
+        addServer("e2", "engines", 32, "v1.1");
+        addServer("e3", "engines", 32, "v1");
+        addServer("e4", "engines", 32, "v1.1");
+        startNode();
+    }
+
+    static std::string takeUp(const std::string &id, const std::string &begun, int lastEvent, const std::string &path)
+    {
+        return request(id,
+                       "POST",
+                       path,
+                       "prompt",
+                       "Last-Event-Id: " + std::to_string(lastEvent) + "\r\nResumes: " + begun
+                           + "\r\nStand-In: events=8 gap=5\r\n");
+    }
+
+    /** Receives the first three events and disconnects. */
+    void receivePart(const std::string &id, const std::string &path)
+    {
+        const std::shared_ptr<RawConnection> connection = connect();
+        connection->send(request(id, "POST", path, "prompt", "Stand-In: events=8 gap=30\r\n"));
+        ASSERT_TRUE(runUntil([&]() { return connection->has("id: 3\n"); }));
+        connection->close();
+    }
+};
+
+TEST_F(RelayResumptionTest, BrokenStreamNeverGoesOnAtAnotherVersion)
+{
+    for (int number = 0; number < Streams; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        const std::string path = "/live/" + id;
+        const ReceivedResponse response =
+            sendRequest(request(id, "POST", path, "prompt", "Stand-In: events=8 gap=5 first cut=3\r\n"));
+        EXPECT_EQ(response.body, standInEvents(path, "prompt", 8)) << id;
+        ASSERT_EQ(ledger_[id].size(), 2U) << id;
+        EXPECT_EQ(ledger_[id][0].version, ledger_[id][1].version) << id;
+    }
+}
+
+TEST_F(RelayResumptionTest, StreamTakenUpByItsCallerNeverGoesOnAtAnotherVersion)
+{
+    for (int number = 0; number < Streams; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        const std::string path = "/live/" + id;
+        receivePart(id, path);
+        const ReceivedResponse response = sendRequest(takeUp(id + "-2", id, 3, path));
+        EXPECT_TRUE(response.bodyComplete) << id;
+        EXPECT_EQ(standInEvents(path, "prompt", 3) + response.body, standInEvents(path, "prompt", 8)) << id;
+        ASSERT_EQ(ledger_[id + "-2"].size(), 1U) << id;
+        EXPECT_EQ(ledger_[id][0].version, ledger_[id + "-2"][0].version) << id;
+    }
+}
+
+TEST_F(RelayResumptionTest, StreamOfUnknownOriginIsRejectedWhileTwoVersionsServe)
+{
+    const ReceivedResponse response = sendRequest(takeUp("r2", "r1", 3, "/live/1"));
+    EXPECT_EQ(response.status, 503U);
+    EXPECT_NE(response.head.find("Retry-After: "), std::string::npos);
+    EXPECT_TRUE(ledger_["r2"].empty());
+}
+
+TEST_F(RelayResumptionTest, StreamWhoseVersionIsGoneIsRejected)
+{
+    receivePart("r1", "/live/1");
+    const std::string version = ledger_["r1"][0].version;
+    for (std::size_t index = 0; index < servers_.size(); ++index) {
+        const bool isOld = (index % 2 == 0) == (version == "v1");
+        if (isOld) {
+            registerServer(*servers_[index], "e" + std::to_string(index + 1), "draining");
+        }
+    }
+    runFor(std::chrono::milliseconds(400));
+    const ReceivedResponse response = sendRequest(takeUp("r2", "r1", 3, "/live/1"));
+    EXPECT_EQ(response.status, 503U);
+    EXPECT_TRUE(ledger_["r2"].empty());
+}
+
+} // namespace
+} // namespace GeraniumLever
--- a/tests/system/relay_process_fixture.cpp
+++ b/tests/system/relay_process_fixture.cpp
@@ -29,9 +29,10 @@
                                               const std::string &storeAddress,
                                               int keyLifetime)
 {
-    return "node: n\ndata_center: dc\ncaller_address: \"" + process.callerAddress + "\"\nstatus_address: \""
-        + process.statusAddress + "\"\nstore_address: \"" + storeAddress + "\"\nkey_lifetime_ms: "
-        + std::to_string(keyLifetime) + "\napply_time_ms: 100\nrepeat_slack: 2000\nstop_limit_s: 5\n";
+    return "node: " + process.node + "\ndata_center: dc\npeer_address: \"" + process.peerAddress
+        + "\"\ncaller_address: \"" + process.callerAddress + "\"\nstatus_address: \"" + process.statusAddress
+        + "\"\nstore_address: \"" + storeAddress + "\"\nkey_lifetime_ms: " + std::to_string(keyLifetime)
+        + "\napply_time_ms: 100\nrepeat_slack: 2000\nstop_limit_s: 5\n";
 }
 
 void RelayProcessFixture::writeSettings(const RelayProcess &process, const std::string &text)
@@ -55,6 +56,8 @@
 {
     const std::string number = std::to_string(processes_.size() + 1);
     RelayProcess process;
+    process.node = "n" + number;
+    process.peerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     process.callerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     process.statusAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     process.settingsPath = folder_ + "/settings-" + number;
--- a/tests/system/relay_process_fixture.h
+++ b/tests/system/relay_process_fixture.h
@@ -13,6 +13,8 @@
 /** One relay process with its addresses and files. */
 struct RelayProcess
 {
+    std::string node;
+    std::string peerAddress;
     std::string callerAddress;
     std::string statusAddress;
     std::string settingsPath;
--- a/tests/system/relay_process_test.cpp
+++ b/tests/system/relay_process_test.cpp
@@ -1,5 +1,7 @@
 /** Tests relay processes against stand-ins of the platform. */
+#include <algorithm>
 #include <csignal>
+#include <map>
 
 #include "tests/system/relay_process_fixture.h"
 
@@ -97,6 +99,61 @@
     EXPECT_EQ(ledger_["r1"].size(), 1U);
 }
 
+TEST_F(RelayProcessTest, StreamsOfAKilledNodeGoOnOnlyAtTheVersionThatBeganThem)
+{
+    addServer("e3", "engines", 32, "v1.1");
+    addServer("e4", "engines", 32, "v1.1");
+    for (int count = 0; count < 3; ++count) {
+        addProcess();
+    }
+    ASSERT_TRUE(runUntil([&]() {
+        return std::all_of(processes_.begin(), processes_.end(), [](const RelayProcess &process) {
+            return readFile(process.outputPath).find("event=nodes_listed nodes=3") != std::string::npos;
+        });
+    }));
+    struct Stream
+    {
+        std::string path;
+        std::shared_ptr<RawConnection> connection;
+        std::string events;
+    };
+    std::map<std::string, Stream> streams;
+    for (int number = 0; number < 24; ++number) {
+        const std::string id = "r" + std::to_string(number);
+        Stream &stream = streams[id];
+        stream.path = "/live/" + id;
+        stream.connection = connectTo(processes_[0].callerAddress);
+        stream.connection->send(request(id, "POST", stream.path, "prompt", "Stand-In: events=30 gap=40\r\n"));
+    }
+    ASSERT_TRUE(runUntil([&]() {
+        return std::all_of(
+            streams.begin(), streams.end(), [](const auto &entry) { return entry.second.connection->has("id: 3\n"); });
+    }));
+    processes_[0].child->kill();
+    int number = 0;
+    for (auto &[id, stream] : streams) {
+        ASSERT_TRUE(runUntil([&stream = stream]() { return stream.connection->ended(); }));
+        std::string bytes = stream.connection->received();
+        const std::string body = takeResponse(bytes).body;
+        stream.events = body.substr(0, body.rfind("\n\n") + 2);
+        const std::size_t received =
+            static_cast<std::size_t>(std::count(stream.events.begin(), stream.events.end(), '\n') / 3);
+        const RelayProcess &other = processes_[static_cast<std::size_t>(1 + number++ % 2)];
+        const ReceivedResponse rest =
+            sendRequestToProcess(other,
+                                 request(id + "-2",
+                                         "POST",
+                                         stream.path,
+                                         "prompt",
+                                         "Last-Event-Id: " + std::to_string(received) + "\r\nResumes: " + id
+                                             + "\r\nStand-In: events=30 gap=1\r\n"));
+        EXPECT_EQ(rest.status, 200U) << id;
+        EXPECT_EQ(stream.events + rest.body, standInEvents(stream.path, "prompt", 30)) << id;
+        ASSERT_EQ(ledger_[id + "-2"].size(), 1U) << id;
+        EXPECT_EQ(ledger_[id][0].version, ledger_[id + "-2"][0].version) << id;
+    }
+}
+
 TEST_F(RelayProcessTest, FrozenNodeRejectsRevokedKeyAfterResuming)
 {
     RelayProcess &process = addProcess(800);
