Resume a broken stream only at the version that began it

Seen by callers: a stream whose upstream failed went on with events of another software version.

Cause: a second attempt was placed like a first one, at any upstream of the pool.

Change: the row keeps the version that began the forwarded stream, and placement offers only upstreams of that version. If none is left besides those that failed, the stream is aborted at once, so that its caller can take it up again while it still has time; if they are full, it waits for them. The partition of engines is computed from all versions as before, so that a single resumed request does not change its size. A request that has forwarded nothing may still be repeated at any version.

--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -112,6 +112,8 @@
     std::uint64_t score = 0;
     std::size_t rank = 0;
     bool isSuspect = false;
+    /** False if its software version must not serve the request. */
+    bool hasVersion = true;
     bool hasRoom = true;
     /** False if the free seats are reserved for other nodes. */
     bool mayTakeSeat = true;
@@ -140,6 +142,7 @@
         }
         Candidate candidate;
         candidate.entry = &entry;
+        candidate.hasVersion = query.accepts(entry.version);
         const UpstreamLoad *upstreamLoad = find(name);
         candidate.load = upstreamLoad == nullptr ? 0.0 : upstreamLoad->requests(now);
         if (upstreamLoad != nullptr) {
@@ -166,7 +169,7 @@
         if (candidate.load >= static_cast<double>(entry.seats) * SeatOversubscription) {
             candidate.hasRoom = false;
         }
-        anyHealthy = anyHealthy || !candidate.isSuspect;
+        anyHealthy = anyHealthy || (candidate.hasVersion && !candidate.isSuspect);
         result.push_back(candidate);
     }
     if (anyHealthy) {
@@ -175,6 +178,15 @@
     return result;
 }
 
+bool RelayPlacement::hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query)
+{
+    return std::any_of(directory.entries().begin(), directory.entries().end(), [&query](const auto &item) {
+        const auto &[name, entry] = item;
+        return !entry.leaving && entry.pool == query.pool && query.accepts(entry.version)
+            && query.excluded.count(name) == 0;
+    });
+}
+
 std::optional<Placement> RelayPlacement::choose(const UpstreamDirectory &directory,
                                                 const PlacementQuery &query,
                                                 TimePoint now)
@@ -275,6 +287,8 @@
         }
         partition = partitioners_[query.pool].enginesFor(query.pool, query.tokenGapTarget, std::move(engines), now);
     }
+    // Only now, because the size of a partition must not depend on the version that a single request needs.
+    std::erase_if(eligible, [](const Candidate &candidate) { return !candidate.hasVersion; });
     const auto isInPartition = [&partition](const Candidate &candidate) {
         return std::find(partition.engines.begin(), partition.engines.end(), candidate.entry->name)
             != partition.engines.end();
@@ -283,7 +297,8 @@
         std::any_of(eligible.begin(), eligible.end(), [&isInPartition](const Candidate &candidate) {
             return candidate.hasRoom && isInPartition(candidate);
         });
-    if (query.engine && (partitionHasRoom || !partition.mayOverflow)) {
+    const bool mayOverflow = partition.mayOverflow || query.version.has_value();
+    if (query.engine && (partitionHasRoom || !mayOverflow)) {
         std::erase_if(eligible, [&isInPartition](const Candidate &candidate) { return !isInPartition(candidate); });
     }
     if (query.engine) {
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -26,8 +26,15 @@
     /** Target for the longest gap between two parts of the response. */
     Duration tokenGapTarget { 0 };
     PromptInfo prompt;
+    /** The only software version that may serve the request; absent if any may. */
+    std::optional<std::string> version;
     /** Upstreams that must not be selected because an attempt there has failed. */
     std::set<UpstreamName> excluded;
+
+    bool accepts(const std::string &upstreamVersion) const
+    {
+        return version.value_or(upstreamVersion) == upstreamVersion;
+    }
 };
 
 /** The selected upstream and the facts behind the selection. */
@@ -65,6 +72,9 @@
     /** Drops the state of upstreams that were removed or restarted. */
     void applyChanges(const UpstreamDirectory &directory, const DirectoryChanges &changes);
 
+    /** True if an upstream may serve the request, now or once it has free capacity. */
+    static bool hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query);
+
     /** The best upstream with free capacity; absent if there is none. */
     std::optional<Placement> choose(const UpstreamDirectory &directory, const PlacementQuery &query, TimePoint now);
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -53,6 +53,10 @@
     TimePoint waitUntil;
     AttemptId attempt;
     UpstreamName upstream;
+    /** Software version of the attempt's upstream. */
+    std::string upstreamVersion;
+    /** The version that began the stream, and the only one that may continue it; absent before it has begun. */
+    std::optional<std::string> streamVersion;
     TimePoint dispatchedAt;
     /** Estimated prompt tokens that the attempt's upstream has yet to prefill. */
     std::uint32_t unreadTokens = 0;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -48,6 +48,7 @@
     query.target = row.route->target;
     query.tokenGapTarget = tokenGapTargetOf(*row.route);
     query.prompt = row.request.prompt;
+    query.version = row.streamVersion;
     query.excluded = row.failedUpstreams;
     return query;
 }
@@ -217,6 +218,7 @@
     row.phase = resumes ? RelayPhase::Answering : RelayPhase::Sent;
     row.attempt = AttemptId(settings_.origin, ++lastAttemptSequence_);
     row.upstream = placement.upstream;
+    row.upstreamVersion = placement.version;
     row.dispatchedAt = now;
     row.progressAt = now;
     ++row.attempts;
@@ -251,6 +253,10 @@
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
     }
+    if (row.streamVersion.has_value() && !RelayPlacement::hasUpstream(directory_, placementQueryOf(row))) {
+        giveUp(row, ResultCode::NoUpstream, now, commands);
+        return;
+    }
     if (queue.size() >= MaxWaiting) {
         giveUp(row, ResultCode::QueueFull, now, commands);
         return;
@@ -338,6 +344,9 @@
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
     row->resumable = head.resumable;
+    if (head.resumable && !row->streamVersion.has_value()) {
+        row->streamVersion = row->upstreamVersion;
+    }
     row->framing = head.framing;
     row->connectionReused = head.connectionReused;
     if (!row->firstByte.has_value()) {
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -256,6 +256,53 @@
     EXPECT_TRUE(broken(request));
 }
 
+TEST_F(RelaySystemTest, BrokenStreamIsAbortedIfItsVersionHasNoOtherUpstream)
+{
+    upstreams_[0].version = "v1";
+    upstreams_[1].version = "v2";
+    configure();
+    const RequestId request = arrive("/live/1");
+    answer(request);
+    fail(request);
+    EXPECT_EQ(dispatches(request).size(), 1U);
+    EXPECT_TRUE(broken(request));
+}
+
+TEST_F(RelaySystemTest, BrokenStreamWaitsForItsVersionInsteadOfTakingAnother)
+{
+    upstreams_[0].version = upstreams_[1].version = "v1";
+    upstreams_[0].seats = upstreams_[1].seats = 1;
+    upstreams_.push_back(upstreamOf("e3", "engines", 8));
+    upstreams_.back().version = "v2";
+    configure();
+    std::map<UpstreamName, std::vector<RequestId>> streams;
+    for (int count = 0; count < 10; ++count) {
+        const RequestId request = arrive("/live/1");
+        ASSERT_EQ(dispatches(request).size(), 1U);
+        answer(request);
+        streams[dispatches(request)[0].upstream].push_back(request);
+    }
+    const UpstreamName first("e1");
+    const UpstreamName second("e2");
+    ASSERT_EQ(streams[second].size(), 2U);
+    const RequestId request = streams[first].front();
+    fail(request);
+    EXPECT_EQ(dispatches(request).size(), 1U);
+    end(streams[second].front());
+    ASSERT_EQ(dispatches(request).size(), 2U);
+    EXPECT_EQ(dispatches(request)[1].upstream, second);
+}
+
+TEST_F(RelaySystemTest, RequestBeforeItsFirstEventIsRepeatedAtAnyVersion)
+{
+    upstreams_[0].version = "v1";
+    upstreams_[1].version = "v2";
+    configure();
+    const RequestId request = arrive("/live/1");
+    fail(request);
+    EXPECT_EQ(dispatches(request).size(), 2U);
+}
+
 TEST_F(RelaySystemTest, ResponseWithoutEventsIsNeverJoinedWithAnother)
 {
     configure();
