Continue a stream that its caller takes up only at the version that began it

Cause: what began a stream was known only to the node that had forwarded it, and nobody used it. The request that takes a stream up names the one that began it (Resumes), but no node could tell from that which version had answered.

Change: before a node forwards a resumable stream, it sends the pool and version that began it to three others, chosen by rendezvous hashing of the request's identifier: two of its data centre and one of another. Whichever node the caller comes back to asks the nodes that can have a copy, at most five and for at most 150 ms, and places the request only at that version. A stream of unknown origin is refused as not run (stream_origin_unknown), unless the pool has had one version for as long as a stream can last, the node's list is fresh, and a node that would know has answered. So a lost copy, a cut or the store's absence costs a refusal, never a wrong version.

--- a/core/result_code.h
+++ b/core/result_code.h
@@ -36,6 +36,7 @@
     NotReady = 206,
     ConfigurationOutdated = 207,
     UpstreamFull = 208,
+    StreamOriginUnknown = 209,
 
     UpstreamLost = 300,
     UpstreamRefused = 301,
--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -48,6 +48,11 @@
     return account;
 }
 
+StreamOrigin readOrigin(PeerWire::StreamOrigin::Reader reader)
+{
+    return { PoolName(textOf(reader.getPool())), textOf(reader.getVersion()) };
+}
+
 std::optional<PeerDatagram> readMessage(PeerWire::Datagram::Reader reader)
 {
     switch (reader.which()) {
@@ -67,6 +72,25 @@
                             totals.getSequence(),
                             readWork(totals.getOthers()) };
     }
+    case PeerWire::Datagram::STREAM_RECORD: {
+        const PeerWire::StreamRecord::Reader record = reader.getStreamRecord();
+        return StreamRecord { NodeName(textOf(record.getNode())),
+                              textOf(record.getStream()),
+                              readOrigin(record.getOrigin()),
+                              Duration(record.getLifetime()) };
+    }
+    case PeerWire::Datagram::STREAM_QUERY: {
+        const PeerWire::StreamQuery::Reader query = reader.getStreamQuery();
+        return StreamQuery { NodeName(textOf(query.getNode())), textOf(query.getStream()) };
+    }
+    case PeerWire::Datagram::STREAM_REPLY: {
+        const PeerWire::StreamReply::Reader reply = reader.getStreamReply();
+        StreamReply message { NodeName(textOf(reply.getNode())), textOf(reply.getStream()), std::nullopt };
+        if (reply.hasOrigin()) {
+            message.origin = readOrigin(reply.getOrigin());
+        }
+        return message;
+    }
     }
     return std::nullopt;
 }
@@ -129,6 +153,38 @@
     writeWork(totals.others, builder.initOthers());
 }
 
+void writeOrigin(const StreamOrigin &origin, PeerWire::StreamOrigin::Builder builder)
+{
+    builder.setPool(pointerTo(origin.pool.text()));
+    builder.setVersion(pointerTo(origin.version));
+}
+
+void write(const StreamRecord &record, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::StreamRecord::Builder builder = datagram.initStreamRecord();
+    builder.setNode(pointerTo(record.node.text()));
+    builder.setStream(pointerTo(record.stream));
+    writeOrigin(record.origin, builder.initOrigin());
+    builder.setLifetime(record.lifetime.count());
+}
+
+void write(const StreamQuery &query, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::StreamQuery::Builder builder = datagram.initStreamQuery();
+    builder.setNode(pointerTo(query.node.text()));
+    builder.setStream(pointerTo(query.stream));
+}
+
+void write(const StreamReply &reply, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::StreamReply::Builder builder = datagram.initStreamReply();
+    builder.setNode(pointerTo(reply.node.text()));
+    builder.setStream(pointerTo(reply.stream));
+    if (reply.origin.has_value()) {
+        writeOrigin(*reply.origin, builder.initOrigin());
+    }
+}
+
 } // namespace
 
 std::string encodePeerDatagram(const PeerDatagram &message)
--- a/drivers/peers/peer_codec.h
+++ b/drivers/peers/peer_codec.h
@@ -11,7 +11,7 @@
 namespace GeraniumLever {
 
 /** Any message between relays. */
-using PeerDatagram = std::variant<PeerReport, WorkReport, WorkTotals>;
+using PeerDatagram = std::variant<PeerReport, WorkReport, WorkTotals, StreamRecord, StreamQuery, StreamReply>;
 
 std::string encodePeerDatagram(const PeerDatagram &message);
 
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -11,6 +11,9 @@
     report @0 :PeerReport;
     work @1 :WorkReport;
     totals @2 :WorkTotals;
+    streamRecord @3 :StreamRecord;
+    streamQuery @4 :StreamQuery;
+    streamReply @5 :StreamReply;
   }
 }
 
@@ -55,3 +58,27 @@
   sentAt @5 :Int64;
   sentAfter @6 :Int64;
 }
+
+struct StreamOrigin {
+  pool @0 :Text;
+  version @1 :Text;
+}
+
+struct StreamRecord {
+  node @0 :Text;
+  stream @1 :Text;
+  origin @2 :StreamOrigin;
+  lifetime @3 :Int64;
+}
+
+struct StreamQuery {
+  node @0 :Text;
+  stream @1 :Text;
+}
+
+struct StreamReply {
+  node @0 :Text;
+  stream @1 :Text;
+  # Null if the sender does not know the origin.
+  origin @2 :StreamOrigin;
+}
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -19,14 +19,10 @@
 /** Work reports continue for this long after the last request, so that the collector learns that the work has ended. */
 constexpr Duration WorkReportTrailingTime = std::chrono::seconds(2);
 
-const NodeName &senderOf(const PeerReport &report)
+template<typename Message>
+const NodeName &senderOf(const Message &message)
 {
-    return report.node;
-}
-
-const NodeName &senderOf(const WorkReport &report)
-{
-    return report.node;
+    return message.node;
 }
 
 const NodeName &senderOf(const WorkTotals &totals)
@@ -36,12 +32,17 @@
 
 } // namespace
 
-PeerExchange::PeerExchange(
-    boost::asio::io_context &context, PeerNode self, PlatformStore &store, const Clock &clock, RelaySystem &system)
+PeerExchange::PeerExchange(boost::asio::io_context &context,
+                           PeerNode self,
+                           PlatformStore &store,
+                           const Clock &clock,
+                           RelaySystem &system,
+                           StreamReplyHandler streamReplyHandler)
     : self_(std::move(self))
     , store_(store)
     , clock_(clock)
     , system_(system)
+    , streamReplyHandler_(std::move(streamReplyHandler))
     , link_(context, [this](const std::string &from, const PeerDatagram &message) { handleDatagram(from, message); })
     , registrationTimer_(context)
     , readTimer_(context)
@@ -79,6 +80,11 @@
     }
 }
 
+void PeerExchange::send(const OutgoingStreamMessage &message)
+{
+    std::visit([&](const auto &value) { link_.send(message.address, value); }, message.message);
+}
+
 void PeerExchange::registerNode()
 {
     store_.writeNode(self_, [this](const Result<Success> &result) {
@@ -196,4 +202,19 @@
     system_.workTotalsReceived(totals, clock_.now());
 }
 
+void PeerExchange::handle(const PeerNode &, const StreamRecord &record)
+{
+    system_.streamRecordReceived(record, clock_.now());
+}
+
+void PeerExchange::handle(const PeerNode &peer, const StreamQuery &query)
+{
+    link_.send(peer.address, system_.answerStreamQuery(query, clock_.now()));
+}
+
+void PeerExchange::handle(const PeerNode &, const StreamReply &reply)
+{
+    streamReplyHandler_(reply);
+}
+
 } // namespace GeraniumLever
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -13,9 +13,15 @@
 class PeerExchange
 {
 public:
+    using StreamReplyHandler = std::function<void(const StreamReply &)>;
+
     /** The store, the clock and the system must outlive the exchange. */
-    PeerExchange(
-        boost::asio::io_context &context, PeerNode self, PlatformStore &store, const Clock &clock, RelaySystem &system);
+    PeerExchange(boost::asio::io_context &context,
+                 PeerNode self,
+                 PlatformStore &store,
+                 const Clock &clock,
+                 RelaySystem &system,
+                 StreamReplyHandler streamReplyHandler);
 
     /** Does nothing if the node has no peer address. */
     Result<Success> start();
@@ -23,6 +29,8 @@
     /** Removes the node's entry from the store. */
     void stop();
 
+    void send(const OutgoingStreamMessage &message);
+
 private:
     void registerNode();
     void readNodes();
@@ -33,11 +41,15 @@
     void handle(const PeerNode &peer, const PeerReport &report);
     void handle(const PeerNode &peer, const WorkReport &report);
     void handle(const PeerNode &peer, const WorkTotals &totals);
+    void handle(const PeerNode &peer, const StreamRecord &record);
+    void handle(const PeerNode &peer, const StreamQuery &query);
+    void handle(const PeerNode &peer, const StreamReply &reply);
 
     PeerNode self_;
     PlatformStore &store_;
     const Clock &clock_;
     RelaySystem &system_;
+    StreamReplyHandler streamReplyHandler_;
     PeerLink link_;
     boost::asio::steady_timer registrationTimer_;
     boost::asio::steady_timer readTimer_;
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -76,11 +76,15 @@
         , upstreamClient(context, codec, *this)
         , store(context, settings.storeAddress, StoreTimeout)
         , storePoller(context, store, settings.applyTime, clock, *this)
-        , peerExchange(context,
-                       { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
-                       store,
-                       clock,
-                       system)
+        , peerExchange(
+              context,
+              { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
+              store,
+              clock,
+              system,
+              [this](const StreamReply &reply) {
+                  perform([&](RelayCommands &commands) { system.streamReplyReceived(reply, clock.now(), commands); });
+              })
         , statusServer(OperatorServerSettings { settings.statusAddress, {} },
                        context,
                        [this](const OperatorRequest &request, OperatorServer::Responder respond) {
@@ -273,6 +277,8 @@
         calls.erase(command.request);
     }
 
+    void run(const OutgoingStreamMessage &message) { peerExchange.send(message); }
+
     void run(const Decision &decision)
     {
         metrics.record(decision);
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/core.h"
+#include "servers/relay/stream_messages.h"
 
 namespace GeraniumLever {
 
@@ -206,8 +207,14 @@
     auto operator<=>(const RelayAbort &) const = default;
 };
 
-using RelayCommand =
-    std::variant<RelayDispatch, RelayForward, RelayCancel, RelayProbe, RelayRefusal, RelayAbort, Decision>;
+using RelayCommand = std::variant<RelayDispatch,
+                                  RelayForward,
+                                  RelayCancel,
+                                  RelayProbe,
+                                  RelayRefusal,
+                                  RelayAbort,
+                                  OutgoingStreamMessage,
+                                  Decision>;
 
 /** In the order in which they must be executed. */
 using RelayCommands = std::vector<RelayCommand>;
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -117,6 +117,15 @@
     return decision;
 }
 
+Decision recordStreamOrigin(const RelayRow &row, const StreamOrigin &origin)
+{
+    Decision decision = requestDecision("take_up", row);
+    decision.fields.emplace_back("resumes", row.request.resumedRequest);
+    decision.fields.emplace_back("origin", origin.pool.text());
+    decision.fields.emplace_back("version", origin.version);
+    return decision;
+}
+
 Decision recordWait(const RelayRow &row, std::size_t ahead, double utilization)
 {
     constexpr double Percent = 100.0;
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -25,6 +25,9 @@
 /** The row's attempt was sent. */
 Decision recordDispatch(const RelayRow &row, const Placement &placement, TimePoint now);
 
+/** The row's request takes up a stream that began there. */
+Decision recordStreamOrigin(const RelayRow &row, const StreamOrigin &origin);
+
 /** ahead: requests that are served before it. utilization: estimated share of the pool's seats in use. */
 Decision recordWait(const RelayRow &row, std::size_t ahead, double utilization);
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -20,6 +20,8 @@
 };
 
 enum class RelayPhase : std::uint8_t {
+    /** Continues a stream; other nodes are being asked where it began. */
+    Locating,
     /** Has no upstream. */
     Waiting,
     /** Sent to an upstream; none of its response has been forwarded. */
@@ -49,7 +51,7 @@
     /** Engine that it waits for; empty if any will do. */
     UpstreamName awaitedEngine;
     TimePoint waitSince;
-    /** If the request still has no upstream at this time, it is given up. */
+    /** If the request still has no upstream, or the stream's origin is still unknown, at this time, it is given up. */
     TimePoint waitUntil;
     AttemptId attempt;
     UpstreamName upstream;
@@ -84,6 +86,17 @@
     /** True if the request may be sent again even though an attempt may have run. */
     bool isRetryable() const { return route->isIdempotent || route->resumable; }
 
+    bool hasUpstream() const { return phase == RelayPhase::Sent || phase == RelayPhase::Answering; }
+
+    /** True if the request takes up a stream that an earlier request of the caller began. */
+    bool takesUpStream() const { return route->streamed && route->resumable && !request.lastEventId.empty(); }
+
+    /** Identifies the stream among all nodes. */
+    const std::string &stream() const { return takesUpStream() ? request.resumedRequest : request.callerId; }
+
+    /** Time within which the caller may take the stream up again. */
+    Duration streamLifetime() const { return route->timeout * 2; }
+
     std::uint32_t tokens() const { return request.prompt.promptTokens + request.prompt.outputTokens; }
 };
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -1,6 +1,7 @@
 #include "servers/relay/relay_system.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "servers/relay/relay_records.h"
@@ -26,6 +27,8 @@
 constexpr std::size_t MaxPlacementAttempts = 6;
 /** Another node accepts the request immediately; the delay only keeps callers from returning at the same moment. */
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(100);
+/** Another node may know the origin, or this one once it reaches the others again. */
+constexpr Duration StreamOriginRetryAfter = std::chrono::milliseconds(300);
 /** A retry is worth its cost only if at least this much time is left. */
 constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
 /** If no part of the response arrives for this many latency targets, a retryable request is sent to another
@@ -60,6 +63,7 @@
     , peers_(settings_.node)
     , workExchange_(settings_.node, settings_.dataCenter, settings_.origin)
     , placement_(settings_.dataCenter, peers_, settings_.seed + 2)
+    , origins_(settings_.node, settings_.dataCenter)
     , random_(settings_.seed + 1)
 {
 }
@@ -81,6 +85,7 @@
                                   RelayCommands &commands)
 {
     handleDirectoryChanges(directory_.update(list, asOf, now), commands);
+    poolVersions_.update(directory_.entries(), asOf);
     for (auto &[queueKey, queue] : queues_) {
         serveQueue(queueKey, now, commands);
     }
@@ -101,6 +106,7 @@
 {
     peers_.updateNodes(nodes);
     workExchange_.updateNodes(nodes);
+    origins_.updateNodes(nodes);
     for (auto &[pool, budget] : budgets_) {
         budget.setNodes(peers_.nodeCount());
     }
@@ -165,6 +171,16 @@
         return;
     }
     RelayRow &row = rows_.put(request.request, std::move(std::get<RelayRow>(admitted)));
+    row.queueKey.pool = row.pool;
+    if (row.takesUpStream()) {
+        locateStream(row, now, commands);
+        return;
+    }
+    admit(row, now, commands);
+}
+
+void RelaySystem::admit(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
     row.queueKey = { row.pool, placement_.usesOwnQueue(placementQueryOf(row), now) };
     budgetOf(row.pool).noteRequest(now);
     place(row, now, commands);
@@ -177,13 +193,13 @@
         return;
     }
     row->callerGone = true;
-    const bool letFinish = row->phase != RelayPhase::Waiting && !row->isRetryable() && !row->route->streamed;
+    const bool letFinish = row->hasUpstream() && !row->isRetryable() && !row->route->streamed;
     if (letFinish) {
         return;
     }
     if (row->phase == RelayPhase::Waiting) {
         leaveQueue(*row);
-    } else {
+    } else if (row->hasUpstream()) {
         commands.emplace_back(RelayCancel { row->attempt });
         row->mayHaveRun = true;
         endAttempt(*row);
@@ -306,6 +322,100 @@
     }
 }
 
+// Streams that callers take up again.
+
+void RelaySystem::locateStream(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    const std::optional<StreamOrigin> origin = origins_.find(row.stream(), now);
+    if (origin.has_value()) {
+        continueStream(row, *origin, now, commands);
+        return;
+    }
+    if (row.stream().empty()) {
+        continueAtOnlyVersion(row, poolVersions_.listedVersion(row.pool), now, commands);
+        return;
+    }
+    std::vector<OutgoingStreamMessage> queries = origins_.startLookup(row.stream(), now);
+    if (queries.empty()) {
+        handleUnknownOrigin(row, true, now, commands);
+        return;
+    }
+    row.phase = RelayPhase::Locating;
+    row.waitUntil = std::min(row.deadline, now + StreamLookupTimeout);
+    std::move(queries.begin(), queries.end(), std::back_inserter(commands));
+}
+
+void RelaySystem::streamReplyReceived(const StreamReply &reply, TimePoint now, RelayCommands &commands)
+{
+    if (!origins_.receive(reply)) {
+        return;
+    }
+    std::vector<RequestId> located;
+    for (const auto &[request, row] : rows_) {
+        if (row.phase == RelayPhase::Locating && row.stream() == reply.stream) {
+            located.push_back(request);
+        }
+    }
+    for (const RequestId &request : located) {
+        RelayRow &row = *rows_.edit(request);
+        if (reply.origin.has_value()) {
+            continueStream(row, *reply.origin, now, commands);
+        } else {
+            handleUnknownOrigin(row, true, now, commands);
+        }
+    }
+}
+
+void RelaySystem::continueStream(RelayRow &row, const StreamOrigin &origin, TimePoint now, RelayCommands &commands)
+{
+    commands.emplace_back(recordStreamOrigin(row, origin));
+    const std::vector<PoolShare> &pools = row.route->pools;
+    const bool isAllowed = std::any_of(
+        pools.begin(), pools.end(), [&origin](const PoolShare &share) { return share.pool == origin.pool; });
+    if (!isAllowed) {
+        giveUp(row, ResultCode::NoUpstream, now, commands);
+        return;
+    }
+    row.pool = origin.pool;
+    row.traits = row.table->pool(row.pool);
+    row.streamVersion = origin.version;
+    admit(row, now, commands);
+}
+
+void RelaySystem::handleUnknownOrigin(RelayRow &row, bool peersAnswered, TimePoint now, RelayCommands &commands)
+{
+    const bool isCertain = peersAnswered && row.route->pools.size() == 1;
+    continueAtOnlyVersion(
+        row, isCertain ? poolVersions_.onlyVersion(row.pool, row.streamLifetime(), now) : std::nullopt, now, commands);
+}
+
+void RelaySystem::continueAtOnlyVersion(RelayRow &row,
+                                        const std::optional<std::string> &version,
+                                        TimePoint now,
+                                        RelayCommands &commands)
+{
+    if (version.has_value()) {
+        continueStream(row, { row.pool, *version }, now, commands);
+        return;
+    }
+    const RequestId request = row.request.request;
+    finish(row, Outcome::NotRun, ResultCode::StreamOriginUnknown, now, commands);
+    const Error error { ResultCode::StreamOriginUnknown,
+                        "it is not known which version began the stream",
+                        StreamOriginRetryAfter };
+    commands.emplace_back(RelayRefusal { request, error, Outcome::NotRun });
+}
+
+void RelaySystem::shareOrigin(const RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    if (row.stream().empty()) {
+        return;
+    }
+    std::vector<OutgoingStreamMessage> copies =
+        origins_.record(row.stream(), { row.pool, *row.streamVersion }, row.streamLifetime(), now);
+    std::move(copies.begin(), copies.end(), std::back_inserter(commands));
+}
+
 // Attempts.
 
 void RelaySystem::headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands)
@@ -344,8 +454,9 @@
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
     row->resumable = head.resumable;
-    if (head.resumable && !row->streamVersion.has_value()) {
+    if (head.resumable && !row->firstByte.has_value()) {
         row->streamVersion = row->upstreamVersion;
+        shareOrigin(*row, now, commands);
     }
     row->framing = head.framing;
     row->connectionReused = head.connectionReused;
@@ -484,8 +595,8 @@
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
         const bool expired = now >= row.deadline;
-        const bool waitExpired = row.phase == RelayPhase::Waiting && now >= row.waitUntil;
-        const bool running = row.phase != RelayPhase::Waiting && row.isRetryable();
+        const bool waitExpired = !row.hasUpstream() && now >= row.waitUntil;
+        const bool running = row.hasUpstream() && row.isRetryable();
         if (expired || waitExpired || running) {
             due.push_back(request);
         }
@@ -495,13 +606,20 @@
         if (row == nullptr) {
             continue;
         }
-        if (row->phase != RelayPhase::Waiting) {
+        if (row->hasUpstream()) {
             checkTimeouts(*row, now, commands);
             continue;
         }
+        if (row->phase == RelayPhase::Locating) {
+            handleUnknownOrigin(*row, origins_.hasAnswer(row->stream()), now, commands);
+            continue;
+        }
         leaveQueue(*row);
         giveUp(*row, row->mayHaveRun ? row->lastFailure : ResultCode::Shed, now, commands);
     }
+    std::vector<OutgoingStreamMessage> queries = origins_.repeatQueries(now);
+    std::move(queries.begin(), queries.end(), std::back_inserter(commands));
+    origins_.expire(now);
     for (RelayProbe &probe : placement_.startDueProbes(directory_, now)) {
         commands.emplace_back(std::move(probe));
     }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -10,6 +10,7 @@
 #include "servers/relay/relay_queue.h"
 #include "servers/relay/relay_retry_budget.h"
 #include "servers/relay/retry_after_estimator.h"
+#include "servers/relay/stream_origins.h"
 #include "servers/relay/work_exchange.h"
 
 namespace GeraniumLever {
@@ -66,6 +67,10 @@
     /** Handles the answer to a work report. */
     void workTotalsReceived(const WorkTotals &totals, TimePoint now);
 
+    void streamRecordReceived(const StreamRecord &record, TimePoint now) { origins_.receive(record, now); }
+    StreamReply answerStreamQuery(const StreamQuery &query, TimePoint now) const { return origins_.answer(query, now); }
+    void streamReplyReceived(const StreamReply &reply, TimePoint now, RelayCommands &commands);
+
     /** Rejects all new requests from now on, because the node shuts down before it could answer them. */
     void startDraining() { draining_ = true; }
 
@@ -101,6 +106,19 @@
 private:
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
+    /** Finds out which version began the stream that the request takes up. */
+    void locateStream(RelayRow &row, TimePoint now, RelayCommands &commands);
+    void continueStream(RelayRow &row, const StreamOrigin &origin, TimePoint now, RelayCommands &commands);
+    /** peersAnswered: at least one node that may know the origin has answered. */
+    void handleUnknownOrigin(RelayRow &row, bool peersAnswered, TimePoint now, RelayCommands &commands);
+    /** Refuses the request if there is no such version. */
+    void continueAtOnlyVersion(RelayRow &row,
+                               const std::optional<std::string> &version,
+                               TimePoint now,
+                               RelayCommands &commands);
+    /** Makes the origin of a stream that now begins, or goes on, known to other nodes. */
+    void shareOrigin(const RelayRow &row, TimePoint now, RelayCommands &commands);
+    void admit(RelayRow &row, TimePoint now, RelayCommands &commands);
     /** Sends the request to an upstream, queues it, or gives it up. */
     void place(RelayRow &row, TimePoint now, RelayCommands &commands);
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
@@ -127,6 +145,8 @@
     PeerView peers_;
     WorkExchange workExchange_;
     RelayPlacement placement_;
+    PoolVersions poolVersions_;
+    StreamOrigins origins_;
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
     Table<RequestId, RelayRow> rows_;
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -24,7 +24,13 @@
         NodeName("node-2"), 5, 6, true, { { { 1, 2, 3, 4 }, { 0xffffffff, 7, 8, 0 } }, { { 200, 77 } } }
     };
     const WorkTotals totals { NodeName("node-3"), 9, { { { 1, 20, 30, 40 } }, { { 200, 5 }, { 800, 6 } } } };
-    const PeerDatagram messages[] = { sampleReport(), PeerReport {}, work, WorkReport {}, totals, WorkTotals {} };
+    const StreamOrigin origin { PoolName("engines"), "v1.1" };
+    const StreamRecord record { NodeName("node-4"), "r1", origin, std::chrono::seconds(20) };
+    const StreamQuery query { NodeName("node-5"), "r1" };
+    const StreamReply known { NodeName("node-6"), "r1", origin };
+    const StreamReply unknown { NodeName("node-7"), "r1", std::nullopt };
+    const PeerDatagram messages[] = { sampleReport(), PeerReport {}, work,  WorkReport {}, totals,
+                                      WorkTotals {},  record,        query, known,         unknown };
     for (const PeerDatagram &message : messages) {
         EXPECT_EQ(decodePeerDatagram(encodePeerDatagram(message)), message) << message.index();
     }
