Do not retain lapsed entries once more after a short outage

Seen by callers: nothing; two requests reached upstreams 3.1 and 3.5 s after they had said that they leave (bound 2 s).

Cause: each failed read of the registry let the next list retain its missing entries for 2.2 s, however short the outage was. After a zone cut of 4 s a node read a whole list again, then one connection to the store failed for 0.25 s, and two entries that had left meanwhile were retained from then on.

OutageTooShortForAnEntryToLapseRetainsNothing and SecondShortOutageDoesNotRetainEntriesOnceMore test this; without the heartbeat setting the directory behaves as before.

Change: an entry lapses only after three missed heartbeats, so an outage that is shorter than one and a half of them, measured from the last answer of any read, retains nothing. The interval comes from the settings (upstream_heartbeat_ms).

--- a/drivers/settings/relay_settings.cpp
+++ b/drivers/settings/relay_settings.cpp
@@ -43,6 +43,7 @@
     reader.read("processor_share", settings.processorShare);
     readPositive(reader, "key_lifetime_ms", settings.keyLifetime);
     readPositive(reader, "apply_time_ms", settings.applyTime);
+    readPositive(reader, "upstream_heartbeat_ms", settings.upstreamHeartbeat);
     reader.read("repeat_ratio", settings.repeatRatio);
     reader.read("repeat_slack", settings.repeatSlack);
     readSeconds(reader, "repeat_window_s", settings.repeatWindow);
--- a/drivers/settings/relay_settings.h
+++ b/drivers/settings/relay_settings.h
@@ -27,6 +27,8 @@
     Duration keyLifetime = std::chrono::seconds(5);
     /** Deadline for applying a new configuration and for sending no further requests to a leaving upstream. */
     Duration applyTime = std::chrono::seconds(2);
+    /** Interval at which upstreams renew their registration; 0 if not known. */
+    Duration upstreamHeartbeat { 0 };
     /** Retry budget of all nodes together: in a window they may send `repeatRatio` retries per request, plus
      *  `repeatSlack`. */
     double repeatRatio = 0.1;
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -43,6 +43,7 @@
     result.dataCenter = settings.dataCenter;
     result.retryAllowance = { settings.repeatRatio, settings.repeatSlack, settings.repeatWindow };
     result.stalenessLimits.keyLifetime = settings.keyLifetime;
+    result.upstreamHeartbeat = settings.upstreamHeartbeat;
     result.origin = origin;
     result.seed = origin;
     return result;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -66,12 +66,14 @@
     , origins_(settings_.node, settings_.dataCenter)
     , random_(settings_.seed + 1)
 {
+    directory_.setHeartbeat(settings_.upstreamHeartbeat);
 }
 
 // Configuration and fleet state.
 
 void RelaySystem::applyConfiguration(const SiteConfigurationPtr &configuration, TimePoint asOf, RelayCommands &commands)
 {
+    directory_.readSucceeded(asOf);
     const ConfigurationVersion before = configuration_.version();
     if (!configuration_.update(configuration, asOf)) {
         return;
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -21,6 +21,8 @@
     DataCenterName dataCenter;
     RetryAllowance retryAllowance;
     StalenessLimits stalenessLimits;
+    /** Interval at which upstreams renew their registration; 0 if not known. */
+    Duration upstreamHeartbeat { 0 };
     /** Origin of the attempts' identifiers; unique per incarnation of the node. */
     std::uint64_t origin = 0;
     /** Seed of all random choices. */
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include "servers/routing/upstream_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -11,7 +12,8 @@
     if (hasList_ && asOf < listAsOf_) {
         return changes;
     }
-    const bool registryRecovered = std::exchange(registryUnavailable_, false);
+    readSucceeded(asOf);
+    const bool mayHaveLapsed = std::exchange(mayHaveLapsed_, false);
     hasList_ = true;
     listAsOf_ = asOf;
     std::set<UpstreamName> listed;
@@ -34,7 +36,7 @@
             possiblyLapsed_.erase(name);
             return false;
         }
-        if (registryRecovered) {
+        if (mayHaveLapsed) {
             possiblyLapsed_.put(name, now + ReregistrationGrace);
         }
         const TimePoint *retainedUntil = possiblyLapsed_.find(name);
@@ -48,6 +50,15 @@
     return changes;
 }
 
+void UpstreamDirectory::readSucceeded(TimePoint asOf)
+{
+    const Duration outage = asOf - answeredAsOf_;
+    if (std::exchange(registryUnavailable_, false) && outage >= heartbeat_ * MinLapseHeartbeats) {
+        mayHaveLapsed_ = true;
+    }
+    answeredAsOf_ = std::max(answeredAsOf_, asOf);
+}
+
 DirectoryChanges UpstreamDirectory::expire(TimePoint now)
 {
     DirectoryChanges changes;
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -47,11 +47,18 @@
 /** Time after a registry outage in which an upstream whose entry lapsed during the outage may register again. */
 constexpr Duration ReregistrationGrace = std::chrono::milliseconds(2200);
 
+/** An entry lapses after three missed heartbeats, one of which it may have missed before an outage. */
+constexpr double MinLapseHeartbeats = 1.5;
+
 /** Applies complete lists read from the registry. An entry that is missing from every list since a registry outage may
  *  have lapsed only because of the outage, so it is retained until ReregistrationGrace has passed. */
 class UpstreamDirectory
 {
 public:
+    /** Sets the interval at which upstreams renew their entries. An outage that is shorter than MinLapseHeartbeats
+     *  intervals lets no entry lapse. */
+    void setHeartbeat(Duration interval) { heartbeat_ = interval; }
+
     /** Applies a complete list, which was current at some time not before asOf. Lists older than the last one are
      * ignored.
      */
@@ -63,6 +70,9 @@
     /** Records that the registry did not answer. */
     void readFailed() { registryUnavailable_ = true; }
 
+    /** Records that the registry answered a read that was sent at asOf. */
+    void readSucceeded(TimePoint asOf);
+
     const Table<UpstreamName, UpstreamEntry> &entries() const { return entries_; }
 
     /** True once a list has arrived. */
@@ -74,7 +84,12 @@
     TimePoint listAsOf_;
     /** Entries that may have lapsed during an outage, with the time until which they are retained. */
     Table<UpstreamName, TimePoint> possiblyLapsed_;
+    Duration heartbeat_ { 0 };
+    /** When the last read that the registry answered was sent. */
+    TimePoint answeredAsOf_;
     bool registryUnavailable_ = false;
+    /** True if entries may be missing from the next list only because of an outage. */
+    bool mayHaveLapsed_ = false;
     bool hasList_ = false;
 };
 
--- a/tests/servers/routing/upstream_directory_test.cpp
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -90,6 +90,41 @@
     EXPECT_FALSE(has("b"));
 }
 
+TEST_F(UpstreamDirectoryTest, OutageTooShortForAnEntryToLapseRetainsNothing)
+{
+    directory_.setHeartbeat(milliseconds(1200));
+    update({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(1));
+    update({ entryOf("a") });
+    EXPECT_FALSE(has("b"));
+}
+
+TEST_F(UpstreamDirectoryTest, SecondShortOutageDoesNotRetainEntriesOnceMore)
+{
+    directory_.setHeartbeat(milliseconds(1200));
+    update({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    update({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(milliseconds(1300));
+    update({ entryOf("a") });
+    EXPECT_FALSE(has("b"));
+}
+
+TEST_F(UpstreamDirectoryTest, OutageIsMeasuredFromTheLastAnswerOfAnyRead)
+{
+    directory_.setHeartbeat(milliseconds(1200));
+    update({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    directory_.readSucceeded(clock_.now());
+    clock_.advance(milliseconds(100));
+    update({ entryOf("a") });
+    EXPECT_TRUE(has("b"));
+}
+
 TEST_F(UpstreamDirectoryTest, LapsedEntryIsRemovedWhenItsAddressIsReused)
 {
     update({ entryOf("a"), entryOf("b") });
