Give tests ports that no outgoing connection takes

Cause: the tests asked the system for a free port, released it and let the node listen on it later. The system gives such ports to outgoing connections, too, so now and then one of the same test, or of another, held it by then, and the node could not start. Seen once in a run of relay_node_test whose output was not kept, and in 1 of 12 runs side by side (ServerErrorIsForwardedWithItsSeal: node_->start() failed).

Change: the ports come from below the range of outgoing connections. No check has changed.

--- a/tests/drivers/http/raw_listener.cpp
+++ b/tests/drivers/http/raw_listener.cpp
@@ -1,5 +1,6 @@
 #include "tests/drivers/http/raw_listener.h"
 
+#include <random>
 #include <utility>
 
 namespace GeraniumLever {
@@ -30,8 +31,18 @@
 
 std::uint16_t unusedPort(boost::asio::io_context &context)
 {
-    boost::asio::ip::tcp::acceptor probe(context, anyLoopbackPort);
-    return probe.local_endpoint().port();
+    // Below the range from which the system picks the ports of outgoing connections, so that none of them takes it.
+    std::uniform_int_distribution<std::uint16_t> ports(10240, 32767);
+    std::random_device random;
+    while (true) {
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), ports(random));
+        boost::asio::ip::tcp::acceptor probe(context, endpoint.protocol());
+        boost::system::error_code error;
+        probe.bind(endpoint, error);
+        if (!error) {
+            return endpoint.port();
+        }
+    }
 }
 
 } // namespace GeraniumLever
--- a/tests/drivers/http/raw_listener.h
+++ b/tests/drivers/http/raw_listener.h
@@ -31,7 +31,7 @@
     std::vector<std::shared_ptr<RawConnection>> connections_;
 };
 
-/** A port of 127.0.0.1 on which nothing listens at the time of the call. */
+/** A port of 127.0.0.1 that nothing uses at the time of the call, and that no outgoing connection will use. */
 std::uint16_t unusedPort(boost::asio::io_context &context);
 
 } // namespace GeraniumLever
--- a/tests/main/relay/relay_node_fixture.cpp
+++ b/tests/main/relay/relay_node_fixture.cpp
@@ -4,16 +4,12 @@
 
 #include <fcntl.h>
 
+#include "tests/drivers/http/raw_listener.h"
+
 namespace GeraniumLever {
 
 namespace {
 
-std::uint16_t freePort(boost::asio::io_context &context)
-{
-    boost::asio::ip::tcp::acceptor acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-    return acceptor.local_endpoint().port();
-}
-
 std::string routeText(const std::string &name,
                       const std::string &kind,
                       const std::string &service,
@@ -91,8 +87,8 @@
     disableOtherLogDestinations(log_);
     settings_.node = NodeName("node");
     settings_.dataCenter = DataCenterName("dc");
-    settings_.callerAddress = "127.0.0.1:" + std::to_string(freePort(loop_.context()));
-    settings_.statusAddress = "127.0.0.1:" + std::to_string(freePort(loop_.context()));
+    settings_.callerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
+    settings_.statusAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     settings_.storeAddress = store_.address();
     settings_.applyTime = std::chrono::milliseconds(100);
     settings_.keyLifetime = std::chrono::milliseconds(1500);
