Count the grace of lapsed entries from the read that found them missing

Seen by callers: nothing; three requests reached upstreams 3.2 s after they had said that they leave (bound 2 s).

Cause: after a cut, entries that are missing are retained for 2.2 s, as they may only have lapsed. A node counts as connected to the store 3 s after the cut. But a read that was under way at the end of the cut took 0.6 s to fail, the next one was sent 0.25 to 0.28 s later, and the grace counted from its answer: 3.1 s and more.

GraceIsCountedFromTheReadThatFoundTheEntryMissing fails with the grace counted from the answer.

Change: the grace counts from the sending of the read, and a read that has taken long to fail is sent again after 0.1 s, so that both take 2.9 s at most. Reads that fail at once are still 0.25 s apart.

--- a/main/relay/store_poller.cpp
+++ b/main/relay/store_poller.cpp
@@ -1,5 +1,6 @@
 #include "main/relay/store_poller.h"
 
+#include <algorithm>
 #include <random>
 
 namespace GeraniumLever {
@@ -10,9 +11,10 @@
 constexpr double PollPeriodFraction = 0.65;
 /** Spreads the reads of different nodes over time. */
 constexpr double PollPeriodJitter = 0.1;
-/** With ReregistrationGrace, it must fit into the three seconds after which a node counts as connected to the store
- * again. */
-constexpr Duration FailureRetryDelay = std::chrono::milliseconds(250);
+/** Time from sending a read that fails to sending it again. */
+constexpr Duration FailureRetryPeriod = std::chrono::milliseconds(250);
+/** Pause after a read that took longer than that to fail. */
+constexpr Duration MinFailureRetryDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -54,7 +56,7 @@
             observer_.configurationRead(
                 std::make_shared<const SiteConfiguration>(std::get<SiteConfiguration>(std::move(result))), asOf);
         }
-        schedule(configurationTimer_, read, &StorePoller::readConfiguration);
+        schedule(configurationTimer_, asOf, read, &StorePoller::readConfiguration);
     });
 }
 
@@ -67,16 +69,20 @@
         if (read) {
             observer_.upstreamsRead(std::get<std::vector<UpstreamEntry>>(std::move(result)), asOf);
         }
-        schedule(upstreamTimer_, read, &StorePoller::readUpstreams);
+        schedule(upstreamTimer_, asOf, read, &StorePoller::readUpstreams);
     });
 }
 
-void StorePoller::schedule(boost::asio::steady_timer &timer, bool succeeded, void (StorePoller::*read)())
+void StorePoller::schedule(boost::asio::steady_timer &timer,
+                           TimePoint sentAt,
+                           bool succeeded,
+                           void (StorePoller::*read)())
 {
     if (stopped_) {
         return;
     }
-    timer.expires_after(random_.jittered(succeeded ? period_ : FailureRetryDelay, PollPeriodJitter));
+    const Duration retryDelay = std::max(FailureRetryPeriod - (clock_.now() - sentAt), MinFailureRetryDelay);
+    timer.expires_after(random_.jittered(succeeded ? period_ : retryDelay, PollPeriodJitter));
     timer.async_wait([this, read](const boost::system::error_code &failure) {
         if (!failure && !stopped_) {
             (this->*read)();
--- a/main/relay/store_poller.h
+++ b/main/relay/store_poller.h
@@ -40,7 +40,7 @@
 private:
     void readConfiguration();
     void readUpstreams();
-    void schedule(boost::asio::steady_timer &timer, bool succeeded, void (StorePoller::*read)());
+    void schedule(boost::asio::steady_timer &timer, TimePoint sentAt, bool succeeded, void (StorePoller::*read)());
     void trackAvailability(const std::optional<Error> &error);
 
     PlatformStore &store_;
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -37,7 +37,7 @@
             return false;
         }
         if (mayHaveLapsed) {
-            possiblyLapsed_.put(name, now + ReregistrationGrace);
+            possiblyLapsed_.put(name, asOf + ReregistrationGrace);
         }
         const TimePoint *retainedUntil = possiblyLapsed_.find(name);
         if (retainedUntil != nullptr && now < *retainedUntil && addresses.count(entry.address) == 0) {
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -44,7 +44,9 @@
     bool empty() const { return added.empty() && leaving.empty() && removed.empty() && restarted.empty(); }
 };
 
-/** Time after a registry outage in which an upstream whose entry lapsed during the outage may register again. */
+/** Time after a registry outage in which an upstream whose entry lapsed during the outage may register again. With the
+ *  time that a read takes to fail and be repeated, it must fit into the three seconds after which a node counts as
+ *  connected to the store again. */
 constexpr Duration ReregistrationGrace = std::chrono::milliseconds(2200);
 
 /** An entry lapses after three missed heartbeats, one of which it may have missed before an outage. */
--- a/tests/servers/routing/upstream_directory_test.cpp
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -90,6 +90,22 @@
     EXPECT_FALSE(has("b"));
 }
 
+TEST_F(UpstreamDirectoryTest, GraceIsCountedFromTheReadThatFoundTheEntryMissing)
+{
+    update({ entryOf("a"), entryOf("b") });
+    directory_.readFailed();
+    clock_.advance(seconds(5));
+    const TimePoint sent = clock_.now();
+    clock_.advance(milliseconds(500));
+    directory_.update({ entryOf("a") }, sent, clock_.now());
+    clock_.advance(ReregistrationGrace - milliseconds(550));
+    directory_.expire(clock_.now());
+    EXPECT_TRUE(has("b"));
+    clock_.advance(milliseconds(50));
+    directory_.expire(clock_.now());
+    EXPECT_FALSE(has("b"));
+}
+
 TEST_F(UpstreamDirectoryTest, OutageTooShortForAnEntryToLapseRetainsNothing)
 {
     directory_.setHeartbeat(milliseconds(1200));
