Follow the naming rule in a test

Cause: clang-tidy refused a constant outside a class (readability-identifier-naming) in stream_origins_test. It is a member of the fixture now; no check has changed.

--- a/tests/servers/relay/stream_origins_test.cpp
+++ b/tests/servers/relay/stream_origins_test.cpp
@@ -9,7 +9,6 @@
 using std::chrono::seconds;
 
 constexpr Duration Lifetime = seconds(20);
-const StreamOrigin Origin { PoolName("engines"), "v1.1" };
 
 /** Nodes in three data centres that deliver each other's messages. */
 class StreamOriginsTest : public testing::Test
@@ -31,7 +30,7 @@
 
     void begin(int number, const std::string &stream)
     {
-        for (const OutgoingStreamMessage &message : node(number).record(stream, Origin, Lifetime, now_)) {
+        for (const OutgoingStreamMessage &message : node(number).record(stream, origin_, Lifetime, now_)) {
             ++messages_;
             if (down_.count(message.address) == 0) {
                 nodes_.at(message.address).receive(std::get<StreamRecord>(message.message), now_);
@@ -58,6 +57,7 @@
         return std::nullopt;
     }
 
+    const StreamOrigin origin_ { PoolName("engines"), "v1.1" };
     std::map<std::string, StreamOrigins> nodes_;
     std::set<std::string> down_;
     TimePoint now_ { seconds(1000) };
@@ -73,7 +73,7 @@
         for (int number = 0; number < 100; ++number) {
             const std::string stream = std::to_string(count) + "/" + std::to_string(number);
             begin(0, stream);
-            EXPECT_EQ(locate(1 + number % (count - 1), stream), Origin) << stream;
+            EXPECT_EQ(locate(1 + number % (count - 1), stream), origin_) << stream;
         }
     }
 }
@@ -85,7 +85,7 @@
     for (int number = 0; number < 100; ++number) {
         const std::string stream = std::to_string(number);
         begin(0, stream);
-        EXPECT_EQ(locate(number % 2 == 0 ? 3 : 6, stream), Origin) << stream;
+        EXPECT_EQ(locate(number % 2 == 0 ? 3 : 6, stream), origin_) << stream;
     }
 }
 
@@ -97,7 +97,7 @@
     }
     down_ = { "node-0", "node-3", "node-6" };
     for (int number = 0; number < 100; ++number) {
-        EXPECT_EQ(locate(number % 2 == 0 ? 1 : 5, std::to_string(number)), Origin) << number;
+        EXPECT_EQ(locate(number % 2 == 0 ? 1 : 5, std::to_string(number)), origin_) << number;
     }
 }
 
@@ -129,7 +129,7 @@
     EXPECT_EQ(node(1).repeatQueries(now_ + milliseconds(60)).size(), asked);
     EXPECT_TRUE(node(1).repeatQueries(now_ + milliseconds(70)).empty());
     node(1).expire(now_ + StreamLookupTimeout);
-    EXPECT_FALSE(node(1).receive(StreamReply { NodeName(queries[0].address), "lost", Origin }));
+    EXPECT_FALSE(node(1).receive(StreamReply { NodeName(queries[0].address), "lost", origin_ }));
 }
 
 TEST_F(StreamOriginsTest, StreamsThatCannotBeTakenUpAreForgotten)
@@ -141,7 +141,7 @@
     begin(0, "stream");
     now_ += Lifetime / 2;
     node(1).expire(now_);
-    EXPECT_EQ(locate(1, "stream"), Origin);
+    EXPECT_EQ(locate(1, "stream"), origin_);
     now_ += Lifetime / 2;
     EXPECT_EQ(node(1).find("stream", now_), std::nullopt);
     node(1).expire(now_);
