Send nothing more to an upstream that states that it leaves

Seen by callers: nothing yet; requests went on to a server whose answers said Server-Leaving, until the registry said so too.

Cause: the node learnt of a leaving upstream only from the registry, which can be late, stale or out of reach. What an upstream says of itself in its responses was passed on to the caller and not read.

Change: the exchange reports what a head states as soon as it is parsed, so it counts for served, refused, failed, broken and misplaced responses alike, before any decision about the request. A 421 states nothing, since another server has taken over the address. UpstreamNotices keeps it by name, address and start of the upstream, beside the directory, so neither a missing entry nor a listed one takes it back. Placement, waiting, resumption and probes ask one predicate. Streams in flight are not touched.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -21,6 +21,7 @@
     std::optional<std::uint64_t> stopAfter;
     bool unframed = false;
     bool resets = false;
+    bool leaving = false;
     std::string fault;
 };
 
@@ -52,6 +53,8 @@
             script.unframed = true;
         } else if (word == "hard" && applies) {
             script.resets = true;
+        } else if (word == "leaving" && applies) {
+            script.leaving = true;
         } else if (applies) {
             script.fault = word;
         }
@@ -150,18 +153,24 @@
                                                         { "slots", settings_.slots },
                                                         { "state", state },
                                                         { "cold_left_ms", 0 },
+                                                        { "born", incarnation_ },
                                                         { "seq", 1 } });
 }
 
-std::string ServerStandIn::head(unsigned status, const std::string &requestId, const std::string &fields) const
+std::string ServerStandIn::head(unsigned status,
+                                const std::string &requestId,
+                                const std::string &fields,
+                                bool leaving) const
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + requestId + "\r\nInstance-Id: " + settings_.id
-        + "\r\nServer-Load: " + std::to_string(running_) + ",0," + std::to_string(settings_.slots) + "\r\n" + fields;
+        + "\r\nServer-Load: " + std::to_string(running_) + ",0," + std::to_string(settings_.slots) + "\r\n"
+        + (leaving || leaving_ ? "Server-Leaving: 1\r\n" : "") + fields;
 }
 
 void ServerStandIn::handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
 {
     const std::string requestId(request["Request-Id"]);
+    arrivals_.push_back({ requestId, std::chrono::steady_clock::now() });
     const std::string expected(request["Expect-Instance"]);
     if (!expected.empty() && expected != settings_.id) {
         session->send(head(421, requestId, "Content-Length: 0\r\n\r\n"));
@@ -171,7 +180,7 @@
     const bool firstRun = ledger_[requestId].empty();
     const Script script = parseScript(std::string(request["Stand-In"]), firstRun);
     if (script.fault == "full" || requestId.empty()) {
-        session->send(head(503, requestId, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"));
+        session->send(head(503, requestId, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", script.leaving));
         session->finish();
         return;
     }
@@ -223,7 +232,8 @@
         session->send(head(200,
                            job->requestId,
                            "Server-Seal: " + settings_.id + "\r\nContent-Type: text/event-stream\r\n"
-                               + (job->script.unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n"));
+                               + (job->script.unframed ? "" : "Transfer-Encoding: chunked\r\n") + "\r\n",
+                           job->script.leaving));
         sendNextEvent(job);
         return;
     }
@@ -285,7 +295,8 @@
     const std::string requestId = script.fault == "foreign" ? "another" : job->requestId;
     const std::string length = script.unframed ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     const std::string answer =
-        head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n") + body;
+        head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n", script.leaving)
+        + body;
     release(job);
     if (script.cut.has_value()) {
         job->session->send(answer.substr(0, answer.size() - body.size() / 2));
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -1,6 +1,7 @@
 /** Stand-in of a server of the platform: a model server or a plain service. */
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -32,6 +33,13 @@
     auto operator<=>(const ServerRun &) const = default;
 };
 
+/** A request that has reached a server. */
+struct ServerArrival
+{
+    std::string requestId;
+    std::chrono::steady_clock::time_point at;
+};
+
 /** What all servers have run, by the request's identifier. */
 using RunLedger = std::map<std::string, std::vector<ServerRun>>;
 
@@ -67,6 +75,7 @@
  *   junk             sends bytes that are no answer
  *   mute             gives no answer
  *   unframed         sends neither a length nor chunks; the body ends with the connection
+ *   leaving          states in its answer that the server is leaving
  */
 class ServerStandIn
 {
@@ -81,9 +90,22 @@
     /** Resets all connections and accepts no more. */
     void crash() { server_.stop(); }
 
+    /** States in all further answers that the server is leaving; it goes on serving. */
+    void leave() { leaving_ = true; }
+
+    /** Becomes another incarnation under the same name and address. */
+    void startAgain()
+    {
+        ++incarnation_;
+        leaving_ = false;
+    }
+
     /** Requests that are being answered. */
     std::uint32_t running() const { return running_; }
 
+    /** Requests that have arrived, whether they ran or not. */
+    const std::vector<ServerArrival> &arrivals() const { return arrivals_; }
+
 private:
     struct Job;
 
@@ -93,12 +115,18 @@
     /** The job no longer counts as running. */
     void release(const std::shared_ptr<Job> &job);
     void answerWhole(const std::shared_ptr<Job> &job);
-    std::string head(unsigned status, const std::string &requestId, const std::string &fields) const;
+    std::string head(unsigned status,
+                     const std::string &requestId,
+                     const std::string &fields,
+                     bool leaving = false) const;
 
     ServerSettings settings_;
     boost::asio::io_context &context_;
     RunLedger &ledger_;
+    std::vector<ServerArrival> arrivals_;
     std::uint32_t running_ = 0;
+    std::uint64_t incarnation_ = 1;
+    bool leaving_ = false;
     RawServer server_;
 };
 
--- a/drivers/relay/relay_client.cpp
+++ b/drivers/relay/relay_client.cpp
@@ -87,6 +87,11 @@
     }
 }
 
+void RelayClient::exchangeNotice(const UpstreamNotice &notice)
+{
+    observer_.exchangeNotice(notice);
+}
+
 void RelayClient::exchangeHead(const RelayResponseHead &head, const RelayResponse &response)
 {
     observer_.exchangeHead(head, response);
--- a/drivers/relay/relay_client.h
+++ b/drivers/relay/relay_client.h
@@ -30,6 +30,7 @@
     std::size_t openExchanges() const { return exchanges_.size(); }
 
 private:
+    void exchangeNotice(const UpstreamNotice &notice) override;
     void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) override;
     void exchangeData(const AttemptId &attempt, std::string_view bytes, const std::string &lastEventId) override;
     void exchangeEnded(const AttemptId &attempt) override;
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -268,6 +268,9 @@
         return true;
     }
     headParsed_ = true;
+    if (!reportNotice()) {
+        return false;
+    }
     head_ = codec_.decodeHead(header.result_int(), header);
     head_.attempt = dispatch_.attempt;
     head_.framing = framingOf(*parser_);
@@ -294,6 +297,16 @@
     return !finished_;
 }
 
+bool RelayExchange::reportNotice()
+{
+    UpstreamNotice notice = codec_.decodeNotice(parser_->get().result_int(), parser_->get());
+    if (!notice.empty()) {
+        notice.attempt = dispatch_.attempt;
+        observer_.exchangeNotice(notice);
+    }
+    return !finished_;
+}
+
 void RelayExchange::forwardHead()
 {
     headForwarded_ = true;
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -24,6 +24,9 @@
 {
 public:
     virtual ~RelayExchangeObserver() = default;
+    /** The upstream has stated something about itself, in any response on the connection. Called before exchangeHead;
+     *  may not be followed by it. */
+    virtual void exchangeNotice(const UpstreamNotice &notice) = 0;
     virtual void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) = 0;
     /** Called only after exchangeHead. */
     virtual void exchangeData(const AttemptId &attempt, std::string_view bytes, const std::string &lastEventId) = 0;
@@ -62,6 +65,8 @@
     void received(const boost::system::error_code &error, std::size_t bytes);
     void parse();
     void resetParser();
+    /** Reports what the upstream states about itself; returns false if the exchange has finished. */
+    bool reportNotice();
     /** Both return false if the exchange has finished. */
     bool processHead();
     bool processBody();
--- a/drivers/relay/relay_header_codec.h
+++ b/drivers/relay/relay_header_codec.h
@@ -23,6 +23,9 @@
     /** Decodes the head of a response; leaves the attempt empty. */
     virtual RelayResponseHead decodeHead(unsigned status, const boost::beast::http::fields &fields) const = 0;
 
+    /** Decodes what the upstream states about itself in a response; leaves the attempt empty. */
+    virtual UpstreamNotice decodeNotice(unsigned status, const boost::beast::http::fields &fields) const = 0;
+
     /** True if the response's fields name the call's request, or name none and the response states that nothing was
      *  run. */
     virtual bool matchesRequest(const RelayCall &call,
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -128,6 +128,11 @@
 
     // RelayExchangeObserver
 
+    void exchangeNotice(const UpstreamNotice &notice) override
+    {
+        perform([&](RelayCommands &commands) { system.noticeArrived(notice, clock.now(), commands); });
+    }
+
     void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) override
     {
         responses[head.attempt] = &response;
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -75,6 +75,18 @@
     Connection,
 };
 
+/** What an upstream states about itself in the head of a response. Holds whatever becomes of the response. */
+struct UpstreamNotice
+{
+    AttemptId attempt;
+    /** True if it shuts down and must get no new requests. */
+    bool leaving = false;
+
+    bool empty() const { return !leaving; }
+
+    auto operator<=>(const UpstreamNotice &) const = default;
+};
+
 /** The head of an upstream's response; if the response is not streamed, its body has arrived as well. */
 struct RelayResponseHead
 {
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -137,7 +137,7 @@
     bool anyHealthy = false;
     const std::uint32_t connections = connectionShare(query.maxConnections, peers_.nodeCount());
     for (const auto &[name, entry] : directory.entries()) {
-        if (entry.leaving || entry.pool != query.pool || query.excluded.count(name) > 0) {
+        if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || query.excluded.count(name) > 0) {
             continue;
         }
         Candidate candidate;
@@ -178,11 +178,11 @@
     return result;
 }
 
-bool RelayPlacement::hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query)
+bool RelayPlacement::hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query) const
 {
-    return std::any_of(directory.entries().begin(), directory.entries().end(), [&query](const auto &item) {
+    return std::any_of(directory.entries().begin(), directory.entries().end(), [&](const auto &item) {
         const auto &[name, entry] = item;
-        return !entry.leaving && entry.pool == query.pool && query.accepts(entry.version)
+        return notices_.acceptsRequests(entry) && entry.pool == query.pool && query.accepts(entry.version)
             && query.excluded.count(name) == 0;
     });
 }
@@ -212,8 +212,7 @@
     }
     const UpstreamLoad *upstreamLoad = find(best->entry->name);
     Placement placement;
-    placement.upstream = best->entry->name;
-    placement.address = best->entry->address;
+    placement.upstream = best->entry->identity();
     placement.version = best->entry->version;
     placement.load = best->load;
     placement.loadAge = upstreamLoad == nullptr ? std::nullopt : upstreamLoad->age(now);
@@ -349,7 +348,7 @@
     std::vector<RelayProbe> probes;
     for (auto &[name, load] : loads_) {
         const UpstreamEntry *entry = directory.entries().find(name);
-        if (entry != nullptr && !entry->leaving && load.startProbeIfDue(now)) {
+        if (entry != nullptr && notices_.acceptsRequests(*entry) && load.startProbeIfDue(now)) {
             probes.push_back({ name, entry->address });
         }
     }
@@ -387,7 +386,7 @@
     double seats = 0.0;
     double taken = 0.0;
     for (const auto &[name, entry] : directory.entries()) {
-        if (entry.leaving || entry.pool != pool) {
+        if (!notices_.acceptsRequests(entry) || entry.pool != pool) {
             continue;
         }
         const UpstreamLoad *upstreamLoad = find(name);
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -40,8 +40,7 @@
 /** The selected upstream and the facts behind the selection. */
 struct Placement
 {
-    UpstreamName upstream;
-    std::string address;
+    UpstreamIdentity upstream;
     /** Version of the upstream's software. */
     std::string version;
     /** Estimated number of requests at the upstream. */
@@ -63,9 +62,9 @@
 class RelayPlacement
 {
 public:
-    /** peers: must outlive the placement. */
-    RelayPlacement(DataCenterName dataCenter, const PeerView &peers, std::uint64_t seed)
-        : dataCenter_(std::move(dataCenter)), peers_(peers), random_(seed)
+    /** peers, notices: must outlive the placement. */
+    RelayPlacement(DataCenterName dataCenter, const PeerView &peers, const UpstreamNotices &notices, std::uint64_t seed)
+        : dataCenter_(std::move(dataCenter)), peers_(peers), notices_(notices), random_(seed)
     {
     }
 
@@ -73,7 +72,7 @@
     void applyChanges(const UpstreamDirectory &directory, const DirectoryChanges &changes);
 
     /** True if an upstream may serve the request, now or once it has free capacity. */
-    static bool hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query);
+    bool hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query) const;
 
     /** The best upstream with free capacity; absent if there is none. */
     std::optional<Placement> choose(const UpstreamDirectory &directory, const PlacementQuery &query, TimePoint now);
@@ -125,6 +124,7 @@
 
     DataCenterName dataCenter_;
     const PeerView &peers_;
+    const UpstreamNotices &notices_;
     RandomSource random_;
     std::map<PoolName, EnginePartitioner> partitioners_;
     std::map<UpstreamName, UpstreamLoad> loads_;
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -78,6 +78,15 @@
     return decisions;
 }
 
+Decision recordNotice(const RelayRow &row, const UpstreamNotice &notice)
+{
+    Decision decision { "notice", {} };
+    decision.fields.emplace_back("upstream", row.upstream.name.text());
+    decision.fields.emplace_back("leaving", notice.leaving ? "true" : "false");
+    decision.fields.emplace_back("request", row.request.callerId);
+    return decision;
+}
+
 Decision recordProbe(const RelayProbeResult &result)
 {
     Decision decision { "probe", {} };
@@ -103,7 +112,7 @@
 Decision recordDispatch(const RelayRow &row, const Placement &placement, TimePoint now)
 {
     Decision decision = requestDecision("dispatch", row);
-    decision.fields.emplace_back("upstream", placement.upstream.text());
+    decision.fields.emplace_back("upstream", placement.upstream.name.text());
     decision.fields.emplace_back("version", placement.version);
     if (!row.request.lastEventId.empty()) {
         decision.fields.emplace_back("resumes", row.request.resumedRequest);
@@ -138,7 +147,7 @@
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now)
 {
     Decision decision = requestDecision("attempt_failed", row);
-    decision.fields.emplace_back("upstream", row.upstream.text());
+    decision.fields.emplace_back("upstream", row.upstream.name.text());
     decision.fields.emplace_back("code", std::string(resultCodeName(row.lastFailure)));
     decision.fields.emplace_back("attempt", std::to_string(row.attempts));
     decision.fields.emplace_back("after_ms", milliseconds(now - row.dispatchedAt));
@@ -151,7 +160,7 @@
     Decision decision = requestDecision("finish", row);
     decision.fields.emplace_back("outcome", std::string(outcomeName(outcome)));
     decision.fields.emplace_back("code", std::string(resultCodeName(code)));
-    decision.fields.emplace_back("upstream", row.upstream.text());
+    decision.fields.emplace_back("upstream", row.upstream.name.text());
     decision.fields.emplace_back("attempts", std::to_string(row.attempts));
     decision.fields.emplace_back("first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
     decision.fields.emplace_back("total_ms", milliseconds(now - row.arrivedAt));
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -14,6 +14,9 @@
 /** One record for each upstream that has changed. */
 std::vector<Decision> recordDirectoryChanges(const DirectoryChanges &changes);
 
+/** The upstream of the row's attempt has stated something about itself. */
+Decision recordNotice(const RelayRow &row, const UpstreamNotice &notice);
+
 Decision recordProbe(const RelayProbeResult &result);
 
 /** The request was rejected before admission. */
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -54,7 +54,7 @@
     /** If the request still has no upstream, or the stream's origin is still unknown, at this time, it is given up. */
     TimePoint waitUntil;
     AttemptId attempt;
-    UpstreamName upstream;
+    UpstreamIdentity upstream;
     /** Software version of the attempt's upstream. */
     std::string upstreamVersion;
     /** The version that began the stream, and the only one that may continue it; absent before it has begun. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -62,7 +62,7 @@
     : settings_(std::move(settings))
     , peers_(settings_.node)
     , workExchange_(settings_.node, settings_.dataCenter, settings_.origin)
-    , placement_(settings_.dataCenter, peers_, settings_.seed + 2)
+    , placement_(settings_.dataCenter, peers_, notices_, settings_.seed + 2)
     , origins_(settings_.node, settings_.dataCenter)
     , random_(settings_.seed + 1)
 {
@@ -88,6 +88,7 @@
 {
     handleDirectoryChanges(directory_.update(list, asOf, now), commands);
     poolVersions_.update(directory_.entries(), asOf);
+    notices_.update(directory_.entries(), now);
     for (auto &[queueKey, queue] : queues_) {
         serveQueue(queueKey, now, commands);
     }
@@ -242,15 +243,15 @@
     ++row.attempts;
     attempts_.emplace(row.attempt, row.request.request);
     row.unreadTokens = placement.unreadTokens;
-    placement_.load(row.upstream).begin(row.tokens(), row.unreadTokens);
+    placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens);
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
 
     commands.emplace_back(recordDispatch(row, placement, now));
     RelayDispatch command;
     command.request = row.request.request;
     command.attempt = row.attempt;
-    command.upstream = placement.upstream;
-    command.address = placement.address;
+    command.upstream = placement.upstream.name;
+    command.address = placement.upstream.address;
     command.team = row.team;
     command.timeLeft = row.deadline - now;
     command.tier = row.tier;
@@ -271,7 +272,7 @@
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
     }
-    if (row.streamVersion.has_value() && !RelayPlacement::hasUpstream(directory_, placementQueryOf(row))) {
+    if (row.streamVersion.has_value() && !placement_.hasUpstream(directory_, placementQueryOf(row))) {
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
     }
@@ -420,20 +421,30 @@
 
 // Attempts.
 
+void RelaySystem::noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands)
+{
+    const RelayRow *row = rowOf(notice.attempt);
+    if (row == nullptr || !notice.leaving || notices_.isLeaving(row->upstream)) {
+        return;
+    }
+    notices_.noteLeaving(row->upstream, now);
+    commands.emplace_back(recordNotice(*row, notice));
+}
+
 void RelaySystem::headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands)
 {
     RelayRow *row = rowOf(head.attempt);
     if (row == nullptr) {
         return;
     }
-    UpstreamLoad &load = placement_.load(row->upstream);
+    UpstreamLoad &load = placement_.load(row->upstream.name);
     if (head.load.has_value()) {
         load.updateReported(*head.load, now);
     }
     if (head.notRun) {
         commands.emplace_back(RelayCancel { head.attempt });
         load.noteFull(now);
-        row->failedUpstreams.insert(row->upstream);
+        row->failedUpstreams.insert(row->upstream.name);
         endAttempt(*row);
         retry(*row, ResultCode::UpstreamFull, now, commands);
         return;
@@ -443,7 +454,7 @@
         load.noteFailed(now);
         if (row->firstByte.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
             commands.emplace_back(RelayCancel { head.attempt });
-            row->failedUpstreams.insert(row->upstream);
+            row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
             endAttempt(*row);
             retry(*row, ResultCode::UpstreamFailed, now, commands);
@@ -472,7 +483,7 @@
 {
     RelayRow *row = rowOf(progress.attempt);
     if (row != nullptr) {
-        placement_.load(row->upstream).noteTokenGap(now - row->progressAt, now);
+        placement_.load(row->upstream.name).noteTokenGap(now - row->progressAt, now);
         row->progressAt = now;
     }
 }
@@ -497,11 +508,11 @@
     }
     const QueueKey queueKey = row->queueKey;
     if (failure.kind == RelayFailure::Kind::NotConnected) {
-        placement_.load(row->upstream).noteUnreachable(now);
+        placement_.load(row->upstream.name).noteUnreachable(now);
     } else {
-        placement_.load(row->upstream).noteFailed(now);
+        placement_.load(row->upstream.name).noteFailed(now);
     }
-    row->failedUpstreams.insert(row->upstream);
+    row->failedUpstreams.insert(row->upstream.name);
     endAttempt(*row);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         ++row->failedConnects;
@@ -545,7 +556,7 @@
 
 void RelaySystem::endAttempt(RelayRow &row)
 {
-    UpstreamLoad &load = placement_.load(row.upstream);
+    UpstreamLoad &load = placement_.load(row.upstream.name);
     load.noteRead(std::exchange(row.unreadTokens, 0));
     load.end(row.tokens());
     attempts_.erase(row.attempt);
@@ -646,8 +657,8 @@
         return;
     }
     commands.emplace_back(RelayCancel { row.attempt });
-    placement_.load(row.upstream).noteFailed(now);
-    row.failedUpstreams.insert(row.upstream);
+    placement_.load(row.upstream.name).noteFailed(now);
+    row.failedUpstreams.insert(row.upstream.name);
     row.mayHaveRun = true;
     endAttempt(row);
     retry(row, ResultCode::UpstreamTimeout, now, commands);
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -78,6 +78,7 @@
 
     void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
+    void noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands);
     void progressed(const RelayProgress &progress, TimePoint now);
     void ended(const RelayCompleted &end, TimePoint now, RelayCommands &commands);
@@ -144,6 +145,7 @@
     RelaySystemSettings settings_;
     ConfigurationTracker configuration_;
     UpstreamDirectory directory_;
+    UpstreamNotices notices_;
     PeerView peers_;
     WorkExchange workExchange_;
     RelayPlacement placement_;
--- a/servers/routing/routing.h
+++ b/servers/routing/routing.h
@@ -9,3 +9,4 @@
 #include "servers/routing/route_table.h"
 #include "servers/routing/site_configuration.h"
 #include "servers/routing/upstream_directory.h"
+#include "servers/routing/upstream_notices.h"
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -24,7 +24,7 @@
         const UpstreamEntry *previous = entries_.find(entry.name);
         if (previous == nullptr) {
             changes.added.push_back(entry.name);
-        } else if (previous->incarnation != entry.incarnation || previous->address != entry.address) {
+        } else if (previous->identity() != entry.identity()) {
             changes.restarted.push_back(entry.name);
         } else if (entry.leaving && !previous->leaving) {
             changes.leaving.push_back(entry.name);
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -10,6 +10,18 @@
 
 namespace GeraniumLever {
 
+/** Identifies one incarnation of an upstream. */
+struct UpstreamIdentity
+{
+    UpstreamName name;
+    /** "a.b.c.d:port". */
+    std::string address;
+    /** Distinguishes restarts under the same name and address; 0 if not stated. */
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const UpstreamIdentity &) const = default;
+};
+
 /** One registered upstream. */
 struct UpstreamEntry
 {
@@ -29,6 +41,8 @@
     /** Distinguishes restarts under the same name; 0 if not stated. */
     std::uint64_t incarnation = 0;
 
+    UpstreamIdentity identity() const { return { name, address, incarnation }; }
+
     auto operator<=>(const UpstreamEntry &) const = default;
 };
 
--- a/tests/drivers/relay/pass_through_header_codec.h
+++ b/tests/drivers/relay/pass_through_header_codec.h
@@ -25,6 +25,8 @@
         return head;
     }
 
+    UpstreamNotice decodeNotice(unsigned, const boost::beast::http::fields &) const override { return {}; }
+
     bool matchesRequest(const RelayCall &, const RelayResponseHead &, const boost::beast::http::fields &) const override
     {
         return true;
--- a/tests/drivers/relay/relay_client_test.cpp
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -16,6 +16,7 @@
 protected:
     RelayClientTest() : listener_(loop_.context()), client_(loop_.context(), codec_, *this) { }
 
+    void exchangeNotice(const UpstreamNotice &) override { }
     void exchangeHead(const RelayResponseHead &, const RelayResponse &) override { ++heads_; }
     void exchangeData(const AttemptId &, std::string_view, const std::string &) override { }
     void exchangeEnded(const AttemptId &) override { ++ended_; }
--- /dev/null
+++ b/tests/main/relay/relay_notices_test.cpp
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <set>
+
+#include "tests/main/relay/relay_node_fixture.h"
+
+namespace GeraniumLever {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** What servers state about themselves in their responses. */
+class RelayNoticesTest : public RelayNodeFixture
+{
+protected:
+    RelayNoticesTest() { writeConfiguration(); }
+
+    void addServers(const std::string &service, int count)
+    {
+        for (int number = 1; number <= count; ++number) {
+            names_.push_back(service.substr(0, 1) + std::to_string(number));
+            addServer(names_.back(), service);
+        }
+    }
+
+    std::set<std::string> serversReachedBy(const std::string &requestId) const
+    {
+        std::set<std::string> reached;
+        for (std::size_t index = 0; index < servers_.size(); ++index) {
+            const std::vector<ServerArrival> &arrivals = servers_[index]->arrivals();
+            if (std::any_of(arrivals.begin(), arrivals.end(), [&](const ServerArrival &arrival) {
+                    return arrival.requestId == requestId;
+                })) {
+                reached.insert(names_[index]);
+            }
+        }
+        return reached;
+    }
+
+    /** The servers that a number of further requests reach. */
+    std::set<std::string> serversReachedByMore(const std::string &path, int requests)
+    {
+        std::set<std::string> reached;
+        for (int number = 0; number < requests; ++number) {
+            const std::string id = "more-" + std::to_string(++lastId_);
+            sendRequest(request(id, "POST", path, "prompt"));
+            reached.merge(serversReachedBy(id));
+        }
+        return reached;
+    }
+
+    std::vector<std::string> names_;
+    int lastId_ = 0;
+};
+
+TEST_F(RelayNoticesTest, ServerThatStatesThatItLeavesGetsNoMoreRequestsWhateverBecameOfItsResponse)
+{
+    addServers("plain", 12);
+    startNode();
+    std::set<std::string> left;
+    for (const std::string ending : { "", "full", "fail", "cut=0", "unframed cut=0 hard", "foreign" }) {
+        const std::string id = "r-" + ending;
+        sendRequest(request(id, "POST", "/read/1", "prompt", "Stand-In: gap=1 first leaving " + ending + "\r\n"));
+        if (ending == "full") {
+            left.merge(serversReachedBy(id));
+        } else {
+            left.insert(ledger_[id].at(0).server);
+        }
+        for (const std::string &server : serversReachedByMore("/read/1", 30)) {
+            EXPECT_EQ(left.count(server), 0U) << ending << ": " << server;
+        }
+    }
+}
+
+TEST_F(RelayNoticesTest, StreamOfALeavingServerGoesOnToItsEnd)
+{
+    addServers("engines", 2);
+    startNode();
+    const ReceivedResponse response =
+        sendRequest(request("r1", "POST", "/stream/1", "prompt", "Stand-In: events=8 gap=20 leaving\r\n"));
+    EXPECT_TRUE(response.bodyComplete);
+    EXPECT_EQ(response.body, standInEvents("/stream/1", "prompt", 8));
+    EXPECT_EQ(serversReachedByMore("/stream/1", 10).count(ledger_["r1"].at(0).server), 0U);
+}
+
+TEST_F(RelayNoticesTest, OnlyAnotherIncarnationEndsTheLeavingOfAServer)
+{
+    addServers("plain", 2);
+    startNode();
+    servers_[0]->leave();
+    EXPECT_EQ(serversReachedByMore("/read/1", 20).count("p2"), 1U);
+    const auto reachesFirstServer = [&]() { return serversReachedByMore("/read/1", 20).count("p1") > 0; };
+    store_.remove("servers", "p1");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    EXPECT_FALSE(reachesFirstServer());
+    registerServer(*servers_[0], "p1");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    EXPECT_FALSE(reachesFirstServer());
+    servers_[0]->startAgain();
+    registerServer(*servers_[0], "p1");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    EXPECT_TRUE(reachesFirstServer());
+}
+
+} // namespace
+} // namespace GeraniumLever
--- a/tests/platform/platform_header_codec_test.cpp
+++ b/tests/platform/platform_header_codec_test.cpp
@@ -134,5 +134,24 @@
     EXPECT_EQ(fields[http::field::retry_after], "0.350");
 }
 
+TEST(PlatformHeaderCodecTest, LeavingIsStatedByOneValueOnly)
+{
+    const PlatformHeaderCodec codec;
+    const auto states = [&codec](unsigned status, const std::string &text) {
+        http::fields fields;
+        fields.set("Server-Leaving", text);
+        return codec.decodeNotice(status, fields).leaving;
+    };
+    for (const unsigned status : { 200U, 429U, 500U, 503U }) {
+        EXPECT_TRUE(states(status, "1")) << status;
+    }
+    // Another server answers there.
+    EXPECT_FALSE(states(421, "1"));
+    for (const std::string text : { "0", "", "true", "11" }) {
+        EXPECT_FALSE(states(200, text)) << text;
+    }
+    EXPECT_TRUE(codec.decodeNotice(200, {}).empty());
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -128,6 +128,11 @@
     system_.headArrived(head, clock_.now(), commands_);
 }
 
+void RelayFixture::noticeLeaving(const RequestId &request)
+{
+    system_.noticeArrived({ dispatches(request).back().attempt, true }, clock_.now(), commands_);
+}
+
 void RelayFixture::answerNotRun(const RequestId &request)
 {
     RelayResponseHead head;
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -28,6 +28,8 @@
 
     /** Events for the newest attempt of a request. */
     void answer(const RequestId &request, unsigned status = 200);
+    /** States that the upstream of the newest attempt is leaving. */
+    void noticeLeaving(const RequestId &request);
     void answerNotRun(const RequestId &request);
     void end(const RequestId &request);
     void fail(const RequestId &request, RelayFailure::Kind kind = RelayFailure::Kind::Broken);
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -105,6 +105,38 @@
     }
 }
 
+TEST_F(RelaySystemTest, UpstreamThatStatesThatItLeavesGetsNoRequestsWhileItsOwnGoOn)
+{
+    configure();
+    const RequestId request = arrive("/once/1");
+    const UpstreamName left = dispatches(request).at(0).upstream;
+    noticeLeaving(request);
+    configure();
+    for (int count = 0; count < 4; ++count) {
+        EXPECT_NE(dispatches(arrive("/read/1")).at(0).upstream, left);
+    }
+    answer(request);
+    EXPECT_TRUE(accepted(request));
+}
+
+TEST_F(RelaySystemTest, RepeatedAndResumedAttemptsAvoidAnUpstreamThatStatesThatItLeaves)
+{
+    upstreams_.push_back(upstreamOf("e3", "engines", 4));
+    configure();
+    const RequestId other = arrive("/live/1");
+    const UpstreamName left = dispatches(other).at(0).upstream;
+    noticeLeaving(other);
+    for (int count = 0; count < 6; ++count) {
+        const RequestId request = arrive("/live/1");
+        answer(request);
+        fail(request);
+        for (const RelayDispatch &dispatch : dispatches(request)) {
+            EXPECT_NE(dispatch.upstream, left);
+        }
+        end(request);
+    }
+}
+
 // At-most-once execution and reporting of "not run".
 
 TEST_F(RelaySystemTest, NonIdempotentRequestIsNotRetriedIfItMayHaveRun)
--- /dev/null
+++ b/tests/servers/routing/upstream_notices_test.cpp
@@ -0,0 +1,67 @@
+#include "servers/routing/routing.h"
+
+#include <gtest/gtest.h>
+
+namespace GeraniumLever {
+namespace {
+
+UpstreamEntry entryOf(const std::string &name, std::uint64_t incarnation)
+{
+    UpstreamEntry entry;
+    entry.name = UpstreamName(name);
+    entry.address = "127.0.0.1:1000";
+    entry.incarnation = incarnation;
+    return entry;
+}
+
+class UpstreamNoticesTest : public testing::Test
+{
+protected:
+    void update(const std::vector<UpstreamEntry> &list)
+    {
+        Table<UpstreamName, UpstreamEntry> entries;
+        for (const UpstreamEntry &entry : list) {
+            entries.put(entry.name, entry);
+        }
+        notices_.update(entries, clock_.now());
+    }
+
+    SteppedClock clock_;
+    UpstreamNotices notices_;
+};
+
+TEST_F(UpstreamNoticesTest, LeavingHoldsForOneIncarnationWhateverTheRegistrySays)
+{
+    notices_.noteLeaving(entryOf("a", 1).identity(), clock_.now());
+    update({ entryOf("a", 1) });
+    EXPECT_FALSE(notices_.acceptsRequests(entryOf("a", 1)));
+    update({});
+    EXPECT_FALSE(notices_.acceptsRequests(entryOf("a", 1)));
+    EXPECT_TRUE(notices_.acceptsRequests(entryOf("a", 2)));
+    EXPECT_TRUE(notices_.acceptsRequests(entryOf("b", 1)));
+    UpstreamEntry moved = entryOf("a", 1);
+    moved.address = "127.0.0.1:1001";
+    EXPECT_TRUE(notices_.acceptsRequests(moved));
+}
+
+TEST_F(UpstreamNoticesTest, RegisteredLeavingNeedsNoNotice)
+{
+    UpstreamEntry entry = entryOf("a", 1);
+    entry.leaving = true;
+    EXPECT_FALSE(notices_.acceptsRequests(entry));
+}
+
+TEST_F(UpstreamNoticesTest, OnlyUpstreamsThatStayUnregisteredAreForgotten)
+{
+    notices_.noteLeaving(entryOf("a", 1).identity(), clock_.now());
+    notices_.noteLeaving(entryOf("b", 1).identity(), clock_.now());
+    for (int minute = 0; minute < 20; ++minute) {
+        clock_.advance(std::chrono::minutes(1));
+        update({ entryOf("a", 1) });
+    }
+    EXPECT_EQ(notices_.size(), 1U);
+    EXPECT_TRUE(notices_.isLeaving(entryOf("a", 1).identity()));
+}
+
+} // namespace
+} // namespace GeraniumLever
