Send nothing to an upstream while the pause lasts that it asked for

Seen by callers: nothing yet; a server that answered 503 with Retry-After got further requests after 150 ms, and if all servers did so, the callers of a node were told to come back after 0.2 s, again and again.

Cause: a 503 marked the upstream as full for 150 ms, and that mark was lost with its entry. The time that the server stated was not read.

Evidence: with a stand-in that states a time, ServerThatWantsNoRequestsGetsNoneUntilItsTimeEnds, PauseOutlastsAnEntryThatComesAndGoes and RequestIsRefusedAtOnceWithTheEarliestEndIfAllServersPause (relay_node_test) fail without the mark and pass with it; the same holds for PausedUpstreamGetsNothingUntilThePauseEnds, RequestIsRefusedAtOnceIfAllUpstreamsPauseForLongerThanItMayWait and WaitingRequestsAreRefusedOnceThePauseOfTheLastUpstreamOutlastsTheirWait (relay_test).

Change: UpstreamNotices keeps the end of the pause by incarnation, beside the directory. Placement, resumption and probes skip a paused upstream. If all upstreams that may serve a request pause for longer than it may wait, it is refused at once (upstream_paused, not run) with the earliest end; so are those that wait when the last pause begins. A caller that cannot outwait the pause is told to come back while it still can, since other nodes have pauses of their own.

--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -41,6 +41,7 @@
     { ResultCode::ConfigurationOutdated, "configuration_outdated", 503 },
     { ResultCode::UpstreamFull, "upstream_full", 503 },
     { ResultCode::StreamOriginUnknown, "stream_origin_unknown", 503 },
+    { ResultCode::UpstreamPaused, "upstream_paused", 503 },
     { ResultCode::UpstreamLost, "upstream_lost", 502 },
     { ResultCode::UpstreamRefused, "upstream_refused", 502 },
     { ResultCode::UpstreamTimeout, "upstream_timeout", 504 },
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -37,6 +37,7 @@
     ConfigurationOutdated = 207,
     UpstreamFull = 208,
     StreamOriginUnknown = 209,
+    UpstreamPaused = 210,
 
     UpstreamLost = 300,
     UpstreamRefused = 301,
--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -22,6 +22,7 @@
     bool unframed = false;
     bool resets = false;
     bool leaving = false;
+    std::string pause;
     std::string fault;
 };
 
@@ -49,6 +50,9 @@
             script.shortAfter = numberOf(word);
         } else if (word.starts_with("stop=") && applies) {
             script.stopAfter = numberOf(word);
+        } else if (word.starts_with("pause=") && applies) {
+            script.pause = word.substr(word.find('=') + 1);
+            script.fault = "full";
         } else if (word == "unframed" && applies) {
             script.unframed = true;
         } else if (word == "hard" && applies) {
@@ -179,14 +183,23 @@
     }
     const bool firstRun = ledger_[requestId].empty();
     const Script script = parseScript(std::string(request["Stand-In"]), firstRun);
-    if (script.fault == "full" || requestId.empty()) {
-        session->send(head(503, requestId, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", script.leaving));
-        session->finish();
+    if (script.fault == "full" || requestId.empty() || !pause_.empty()) {
+        turnAway(session, requestId, pause_.empty() ? script.pause : pause_, script.leaving);
         return;
     }
     run(session, request);
 }
 
+void ServerStandIn::turnAway(const std::shared_ptr<RawSession> &session,
+                             const std::string &requestId,
+                             const std::string &pause,
+                             bool leaving)
+{
+    const std::string retryAfter = pause.empty() ? "" : "Retry-After: " + pause + "\r\n";
+    session->send(head(503, requestId, "Not-Executed: 1\r\n" + retryAfter + "Content-Length: 0\r\n\r\n", leaving));
+    session->finish();
+}
+
 void ServerStandIn::run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
 {
     const std::shared_ptr<Job> job = std::make_shared<Job>(context_);
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -70,6 +70,7 @@
  *   reset            resets the connection in place of an answer
  *   fail             answers 500
  *   full             answers 503 and states that nothing ran
+ *   pause=SECONDS    as "full", with this text as the time for which it wants no requests
  *   extra            sends the answer twice
  *   foreign          answers with another request's identifier
  *   junk             sends bytes that are no answer
@@ -93,6 +94,9 @@
     /** States in all further answers that the server is leaving; it goes on serving. */
     void leave() { leaving_ = true; }
 
+    /** Turns all further requests away with this text as the time for which it wants none; empty: serves again. */
+    void pause(const std::string &seconds) { pause_ = seconds; }
+
     /** Becomes another incarnation under the same name and address. */
     void startAgain()
     {
@@ -110,6 +114,10 @@
     struct Job;
 
     void handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
+    void turnAway(const std::shared_ptr<RawSession> &session,
+                  const std::string &requestId,
+                  const std::string &pause,
+                  bool leaving);
     void run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
     void sendNextEvent(const std::shared_ptr<Job> &job);
     /** The job no longer counts as running. */
@@ -127,6 +135,7 @@
     std::uint32_t running_ = 0;
     std::uint64_t incarnation_ = 1;
     bool leaving_ = false;
+    std::string pause_;
     RawServer server_;
 };
 
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -81,8 +81,10 @@
     AttemptId attempt;
     /** True if it shuts down and must get no new requests. */
     bool leaving = false;
+    /** Time for which it wants no requests from this node; absent if it does not say so. */
+    std::optional<Duration> pause;
 
-    bool empty() const { return !leaving; }
+    bool empty() const { return !leaving && !pause.has_value(); }
 
     auto operator<=>(const UpstreamNotice &) const = default;
 };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -140,6 +140,9 @@
         if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || query.excluded.count(name) > 0) {
             continue;
         }
+        if (now < notices_.pausedUntil(entry.identity())) {
+            continue;
+        }
         Candidate candidate;
         candidate.entry = &entry;
         candidate.hasVersion = query.accepts(entry.version);
@@ -187,6 +190,24 @@
     });
 }
 
+std::optional<TimePoint> RelayPlacement::pausedUntil(const UpstreamDirectory &directory,
+                                                     const PlacementQuery &query,
+                                                     TimePoint now) const
+{
+    std::optional<TimePoint> earliest;
+    for (const auto &[name, entry] : directory.entries()) {
+        if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || !query.accepts(entry.version)) {
+            continue;
+        }
+        const TimePoint until = notices_.pausedUntil(entry.identity());
+        if (now >= until) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(until), until);
+    }
+    return earliest;
+}
+
 std::optional<Placement> RelayPlacement::choose(const UpstreamDirectory &directory,
                                                 const PlacementQuery &query,
                                                 TimePoint now)
@@ -348,7 +369,9 @@
     std::vector<RelayProbe> probes;
     for (auto &[name, load] : loads_) {
         const UpstreamEntry *entry = directory.entries().find(name);
-        if (entry != nullptr && notices_.acceptsRequests(*entry) && load.startProbeIfDue(now)) {
+        const bool mayProbe =
+            entry != nullptr && notices_.acceptsRequests(*entry) && now >= notices_.pausedUntil(entry->identity());
+        if (mayProbe && load.startProbeIfDue(now)) {
             probes.push_back({ name, entry->address });
         }
     }
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -74,6 +74,11 @@
     /** True if an upstream may serve the request, now or once it has free capacity. */
     bool hasUpstream(const UpstreamDirectory &directory, const PlacementQuery &query) const;
 
+    /** The earliest end of a pause if all upstreams that may serve the request have asked for one; absent otherwise. */
+    std::optional<TimePoint> pausedUntil(const UpstreamDirectory &directory,
+                                         const PlacementQuery &query,
+                                         TimePoint now) const;
+
     /** The best upstream with free capacity; absent if there is none. */
     std::optional<Placement> choose(const UpstreamDirectory &directory, const PlacementQuery &query, TimePoint now);
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -29,6 +29,8 @@
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(100);
 /** Another node may know the origin, or this one once it reaches the others again. */
 constexpr Duration StreamOriginRetryAfter = std::chrono::milliseconds(300);
+/** Spreads the return of callers after a pause of all upstreams. */
+constexpr Duration PauseEndSpread = std::chrono::milliseconds(200);
 /** A retry is worth its cost only if at least this much time is left. */
 constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
 /** If no part of the response arrives for this many latency targets, a retryable request is sent to another
@@ -288,9 +290,14 @@
         giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::Shed, now, commands);
         return;
     }
+    const TimePoint waitUntil = std::min(row.deadline, now + maxWait);
+    if (isPausedBeyond(row, waitUntil, now)) {
+        giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::UpstreamPaused, now, commands);
+        return;
+    }
     row.phase = RelayPhase::Waiting;
     row.waitSince = now;
-    row.waitUntil = std::min(row.deadline, now + maxWait);
+    row.waitUntil = waitUntil;
     queue.push(row.tier, row.team, row.request.request);
     row.awaitedEngine = placement_.preferredEngine(directory_, placementQueryOf(row), now);
     if (!row.awaitedEngine.empty()) {
@@ -299,6 +306,27 @@
     commands.emplace_back(recordWait(row, ahead, utilization.value_or(0.0)));
 }
 
+bool RelaySystem::isPausedBeyond(const RelayRow &row, TimePoint time, TimePoint now) const
+{
+    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(directory_, placementQueryOf(row), now);
+    return pausedUntil.has_value() && *pausedUntil > time;
+}
+
+void RelaySystem::refusePaused(const PoolName &pool, TimePoint now, RelayCommands &commands)
+{
+    std::vector<RequestId> paused;
+    for (const auto &[request, row] : rows_) {
+        if (row.phase == RelayPhase::Waiting && row.pool == pool && isPausedBeyond(row, row.waitUntil, now)) {
+            paused.push_back(request);
+        }
+    }
+    for (const RequestId &request : paused) {
+        RelayRow &row = *rows_.edit(request);
+        leaveQueue(row);
+        giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::UpstreamPaused, now, commands);
+    }
+}
+
 void RelaySystem::leaveQueue(RelayRow &row)
 {
     queues_[row.queueKey].erase(row.tier, row.team, row.request.request);
@@ -424,11 +452,22 @@
 void RelaySystem::noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands)
 {
     const RelayRow *row = rowOf(notice.attempt);
-    if (row == nullptr || !notice.leaving || notices_.isLeaving(row->upstream)) {
+    if (row == nullptr) {
         return;
     }
-    notices_.noteLeaving(row->upstream, now);
-    commands.emplace_back(recordNotice(*row, notice));
+    const bool isNew = notice.pause.has_value() || !notices_.isLeaving(row->upstream);
+    if (isNew) {
+        commands.emplace_back(recordNotice(*row, notice));
+    }
+    if (notice.leaving) {
+        notices_.noteLeaving(row->upstream, now);
+    }
+    if (notice.pause.has_value()) {
+        notices_.notePause(row->upstream, *notice.pause, now);
+    }
+    if (isNew) {
+        refusePaused(PoolName(row->pool), now, commands);
+    }
 }
 
 void RelaySystem::headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands)
@@ -583,14 +622,27 @@
             RelayRefusal { request, { final, "the upstream did not answer", std::nullopt }, outcome });
         return;
     }
-    const std::size_t ahead = queues_[row.queueKey].maxAhead(row.tier);
-    const Duration retryAfter = retryAfterEstimatorOf(row).retryAfter(ahead, row.deadline - now);
+    const Duration retryAfter = retryAfterOf(row, now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
     commands.emplace_back(
         RelayRefusal { request, { final, "no upstream has free capacity", retryAfter }, Outcome::NotRun });
 }
 
+Duration RelaySystem::retryAfterOf(const RelayRow &row, TimePoint now)
+{
+    const Duration timeLeft = row.deadline - now;
+    const std::size_t ahead = queues_[row.queueKey].maxAhead(row.tier);
+    const Duration estimate = retryAfterEstimatorOf(row).retryAfter(ahead, timeLeft);
+    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(directory_, placementQueryOf(row), now);
+    // A caller that cannot wait so long may still be served by another node, for which other pauses hold.
+    if (!pausedUntil.has_value() || *pausedUntil - now >= timeLeft) {
+        return estimate;
+    }
+    const Duration spread(static_cast<Duration::rep>(static_cast<double>(PauseEndSpread.count()) * random_.fraction()));
+    return *pausedUntil - now + spread;
+}
+
 void RelaySystem::finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands)
 {
     commands.emplace_back(recordFinish(row, outcome, code, now));
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -127,6 +127,10 @@
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
     void dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands);
     void enqueue(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** True if all upstreams that may serve the request have asked for a pause that ends after this time. */
+    bool isPausedBeyond(const RelayRow &row, TimePoint time, TimePoint now) const;
+    /** Gives up the waiting requests of the pool that no upstream will accept in time. */
+    void refusePaused(const PoolName &pool, TimePoint now, RelayCommands &commands);
     /** Removes the request from its queue. */
     void leaveQueue(RelayRow &row);
     void serveQueue(const QueueKey &queueKey, TimePoint now, RelayCommands &commands);
@@ -137,6 +141,8 @@
     void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
     bool mayRetry(const RelayRow &row, TimePoint now);
     void giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands);
+    /** Time after which the caller of a refused request should come back. */
+    Duration retryAfterOf(const RelayRow &row, TimePoint now);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
--- a/servers/routing/upstream_notices.cpp
+++ b/servers/routing/upstream_notices.cpp
@@ -1,5 +1,7 @@
 #include "servers/routing/upstream_notices.h"
 
+#include <algorithm>
+
 namespace GeraniumLever {
 
 namespace {
@@ -16,6 +18,20 @@
     notice.lastKnownAt = now;
 }
 
+void UpstreamNotices::notePause(const UpstreamIdentity &upstream, Duration pause, TimePoint now)
+{
+    Notice &notice = notices_[upstream];
+    // Responses can overtake each other, so a shorter pause does not end an earlier one.
+    notice.pausedUntil = std::max(notice.pausedUntil, now + std::min(pause, MaxPause));
+    notice.lastKnownAt = now;
+}
+
+TimePoint UpstreamNotices::pausedUntil(const UpstreamIdentity &upstream) const
+{
+    const auto found = notices_.find(upstream);
+    return found == notices_.end() ? TimePoint() : found->second.pausedUntil;
+}
+
 bool UpstreamNotices::isLeaving(const UpstreamIdentity &upstream) const
 {
     const auto found = notices_.find(upstream);
@@ -30,7 +46,10 @@
             notice.lastKnownAt = now;
         }
     }
-    std::erase_if(notices_, [now](const auto &item) { return now - item.second.lastKnownAt > UnregisteredLifetime; });
+    std::erase_if(notices_, [now](const auto &item) {
+        const Notice &notice = item.second;
+        return now - notice.lastKnownAt > UnregisteredLifetime && now >= notice.pausedUntil;
+    });
 }
 
 } // namespace GeraniumLever
--- a/servers/routing/upstream_notices.h
+++ b/servers/routing/upstream_notices.h
@@ -7,6 +7,9 @@
 
 namespace GeraniumLever {
 
+/** Longest pause that is honoured. */
+constexpr Duration MaxPause = std::chrono::hours(24);
+
 /** Applies to one incarnation of an upstream, whatever the registry says about it before or afterwards. */
 class UpstreamNotices
 {
@@ -14,9 +17,16 @@
     /** The upstream shuts down and must get no new requests from this node. */
     void noteLeaving(const UpstreamIdentity &upstream, TimePoint now);
 
+    /** The upstream wants no requests from this node for this long; more than MaxPause counts as MaxPause. */
+    void notePause(const UpstreamIdentity &upstream, Duration pause, TimePoint now);
+
     bool isLeaving(const UpstreamIdentity &upstream) const;
 
-    /** True if the upstream may get new requests, according to its registration and to what it stated. */
+    /** End of the pause that the upstream asked for last; default-constructed if it asked for none. */
+    TimePoint pausedUntil(const UpstreamIdentity &upstream) const;
+
+    /** True if the upstream may get new requests, apart from pauses, according to its registration and to what it
+     *  stated. */
     bool acceptsRequests(const UpstreamEntry &entry) const { return !entry.leaving && !isLeaving(entry.identity()); }
 
     /** Forgets upstreams that have not been registered for a long time. */
@@ -28,6 +38,7 @@
     struct Notice
     {
         bool isLeaving = false;
+        TimePoint pausedUntil;
         /** When the notice arrived or the upstream was last registered. */
         TimePoint lastKnownAt;
     };
--- a/tests/main/relay/relay_notices_test.cpp
+++ b/tests/main/relay/relay_notices_test.cpp
@@ -37,13 +37,16 @@
     }
 
     /** The servers that a number of further requests reach. */
-    std::set<std::string> serversReachedByMore(const std::string &path, int requests)
+    std::set<std::string> serversReachedByMore(const std::string &path,
+                                               int requests,
+                                               milliseconds interval = milliseconds(0))
     {
         std::set<std::string> reached;
         for (int number = 0; number < requests; ++number) {
             const std::string id = "more-" + std::to_string(++lastId_);
             sendRequest(request(id, "POST", path, "prompt"));
             reached.merge(serversReachedBy(id));
+            runFor(interval);
         }
         return reached;
     }
@@ -101,5 +104,57 @@
     EXPECT_TRUE(reachesFirstServer());
 }
 
+// Pauses
+
+TEST_F(RelayNoticesTest, ServerThatWantsNoRequestsGetsNoneUntilItsTimeEnds)
+{
+    addServers("plain", 2);
+    startNode();
+    sendRequest(request("r1", "POST", "/read/1", "prompt", "Stand-In: pause=0.8\r\n"));
+    const std::chrono::steady_clock::time_point pausedAt = std::chrono::steady_clock::now();
+    ASSERT_EQ(serversReachedBy("r1"), (std::set<std::string> { "p1", "p2" }));
+    servers_[1]->startAgain();
+    registerServer(*servers_[1], "p2");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    EXPECT_EQ(serversReachedByMore("/once/1", 20, milliseconds(20)), (std::set<std::string> { "p2" }));
+    runUntil([pausedAt]() { return std::chrono::steady_clock::now() >= pausedAt + milliseconds(800); });
+    EXPECT_EQ(serversReachedByMore("/once/1", 20).count("p1"), 1U);
+}
+
+TEST_F(RelayNoticesTest, PauseOutlastsAnEntryThatComesAndGoes)
+{
+    addServers("plain", 2);
+    startNode();
+    servers_[0]->pause("30");
+    serversReachedByMore("/read/1", 20);
+    ASSERT_FALSE(servers_[0]->arrivals().empty());
+    servers_[0]->pause("");
+    store_.remove("servers", "p1");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    registerServer(*servers_[0], "p1");
+    runFor(std::chrono::duration_cast<milliseconds>(settings_.applyTime));
+    EXPECT_EQ(serversReachedByMore("/read/1", 20), (std::set<std::string> { "p2" }));
+}
+
+TEST_F(RelayNoticesTest, RequestIsRefusedAtOnceWithTheEarliestEndIfAllServersPause)
+{
+    addServers("plain", 2);
+    startNode();
+    servers_[0]->pause("1.2");
+    servers_[1]->pause("30");
+    serversReachedByMore("/read/1", 5);
+    const std::size_t arrivals = servers_[0]->arrivals().size() + servers_[1]->arrivals().size();
+    const std::chrono::steady_clock::time_point sentAt = std::chrono::steady_clock::now();
+    const ReceivedResponse response = sendRequest(request("r1", "POST", "/read/1", "prompt"));
+    EXPECT_LT(std::chrono::steady_clock::now() - sentAt, milliseconds(60));
+    EXPECT_EQ(response.status, 503U);
+    const std::size_t field = response.head.find("Retry-After: ");
+    ASSERT_NE(field, std::string::npos);
+    const double seconds = std::stod(response.head.substr(field + 13));
+    EXPECT_GT(seconds, 0.8);
+    EXPECT_LT(seconds, 1.5);
+    EXPECT_EQ(servers_[0]->arrivals().size() + servers_[1]->arrivals().size(), arrivals);
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/platform/platform_header_codec_test.cpp
+++ b/tests/platform/platform_header_codec_test.cpp
@@ -153,5 +153,31 @@
     EXPECT_TRUE(codec.decodeNotice(200, {}).empty());
 }
 
+TEST(PlatformHeaderCodecTest, PauseIsReadFromUnavailableResponsesOnly)
+{
+    using std::chrono::milliseconds;
+    const PlatformHeaderCodec codec;
+    const auto pauseOf = [&codec](unsigned status, const std::vector<std::string> &texts) {
+        http::fields fields;
+        for (const std::string &text : texts) {
+            fields.insert(http::field::retry_after, text);
+        }
+        return codec.decodeNotice(status, fields).pause;
+    };
+    EXPECT_EQ(pauseOf(503, { "2" }), milliseconds(2000));
+    EXPECT_EQ(pauseOf(503, { " 0.25 " }), milliseconds(250));
+    EXPECT_EQ(pauseOf(503, { ".5" }), milliseconds(500));
+    EXPECT_EQ(pauseOf(503, { "1", "3", "x" }), milliseconds(3000));
+    for (const std::string text :
+         { "", "0", "0.000", "-1", "+1", "1e3", "1s", "soon", "1.2.3", ".", "nan", "Wed, 21 Oct 2026 07:28:00 GMT" }) {
+        EXPECT_EQ(pauseOf(503, { text }), std::nullopt) << text;
+    }
+    EXPECT_GT(pauseOf(503, { std::string(400, '9') }), std::chrono::hours(24));
+    EXPECT_GT(pauseOf(503, { "99999999999999999999" }), std::chrono::hours(24));
+    for (const unsigned status : { 200U, 421U, 429U, 500U }) {
+        EXPECT_EQ(pauseOf(status, { "2" }), std::nullopt) << status;
+    }
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -130,7 +130,13 @@
 
 void RelayFixture::noticeLeaving(const RequestId &request)
 {
-    system_.noticeArrived({ dispatches(request).back().attempt, true }, clock_.now(), commands_);
+    system_.noticeArrived({ dispatches(request).back().attempt, true, std::nullopt }, clock_.now(), commands_);
+}
+
+void RelayFixture::answerPaused(const RequestId &request, Duration pause)
+{
+    system_.noticeArrived({ dispatches(request).back().attempt, false, pause }, clock_.now(), commands_);
+    answerNotRun(request);
 }
 
 void RelayFixture::answerNotRun(const RequestId &request)
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -30,6 +30,8 @@
     void answer(const RequestId &request, unsigned status = 200);
     /** States that the upstream of the newest attempt is leaving. */
     void noticeLeaving(const RequestId &request);
+    /** Refuses the newest attempt, as not run, with a pause. */
+    void answerPaused(const RequestId &request, Duration pause);
     void answerNotRun(const RequestId &request);
     void end(const RequestId &request);
     void fail(const RequestId &request, RelayFailure::Kind kind = RelayFailure::Kind::Broken);
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -137,6 +137,77 @@
     }
 }
 
+TEST_F(RelaySystemTest, PausedUpstreamGetsNothingUntilThePauseEnds)
+{
+    configure();
+    const RequestId first = arrive("/once/1");
+    const UpstreamName paused = dispatches(first).at(0).upstream;
+    answerPaused(first, seconds(2));
+    EXPECT_EQ(dispatches(first).size(), 2U);
+    for (int step = 0; step < 19; ++step) {
+        advance(milliseconds(100));
+        configure();
+        tick();
+        const RequestId request = arrive("/read/1");
+        EXPECT_NE(dispatches(request).at(0).upstream, paused);
+        answer(request);
+        end(request);
+    }
+    advance(milliseconds(100));
+    bool reached = false;
+    for (int count = 0; count < 8; ++count) {
+        reached = reached || dispatches(arrive("/read/1")).at(0).upstream == paused;
+    }
+    EXPECT_TRUE(reached);
+}
+
+TEST_F(RelaySystemTest, RequestIsRefusedAtOnceIfAllUpstreamsPauseForLongerThanItMayWait)
+{
+    configure();
+    const RequestId first = arrive("/once/1");
+    answerPaused(first, seconds(2));
+    answerPaused(first, seconds(3));
+    for (const RequestId &request : { first, arrive("/once/1"), arrive("/read/1") }) {
+        ASSERT_EQ(refusals(request).size(), 1U);
+        EXPECT_EQ(refusals(request)[0].outcome, Outcome::NotRun);
+        EXPECT_GE(*refusals(request)[0].error.retryAfter, seconds(2));
+        EXPECT_LE(*refusals(request)[0].error.retryAfter, milliseconds(2200));
+    }
+    // The pause ends within the time that a request may wait.
+    advance(milliseconds(1950));
+    const RequestId waiting = arrive("/read/1");
+    EXPECT_TRUE(refusals(waiting).empty());
+    advance(milliseconds(50));
+    tick();
+    EXPECT_EQ(dispatches(waiting).size(), 1U);
+}
+
+TEST_F(RelaySystemTest, WaitingRequestsAreRefusedOnceThePauseOfTheLastUpstreamOutlastsTheirWait)
+{
+    upstreams_[2].leaving = true;
+    upstreams_[3].seats = 1;
+    configure();
+    const RequestId first = arrive("/once/1");
+    const RequestId second = arrive("/once/1");
+    const RequestId waiting = arrive("/once/1");
+    EXPECT_TRUE(dispatches(waiting).empty());
+    answerPaused(first, seconds(1));
+    ASSERT_EQ(refusals(waiting).size(), 1U);
+    EXPECT_EQ(refusals(waiting)[0].error.code, ResultCode::UpstreamPaused);
+    answer(second);
+    EXPECT_TRUE(accepted(second));
+}
+
+TEST_F(RelaySystemTest, CallerThatCannotOutwaitThePauseIsToldToComeBackWhileItStillWaits)
+{
+    configure();
+    const RequestId request = arrive("/once/1");
+    answerPaused(request, seconds(60));
+    answerPaused(request, seconds(60));
+    ASSERT_EQ(refusals(request).size(), 1U);
+    EXPECT_LT(*refusals(request)[0].error.retryAfter, seconds(4));
+}
+
 // At-most-once execution and reporting of "not run".
 
 TEST_F(RelaySystemTest, NonIdempotentRequestIsNotRetriedIfItMayHaveRun)
--- a/tests/servers/routing/upstream_notices_test.cpp
+++ b/tests/servers/routing/upstream_notices_test.cpp
@@ -44,6 +44,27 @@
     EXPECT_TRUE(notices_.acceptsRequests(moved));
 }
 
+TEST_F(UpstreamNoticesTest, PauseHoldsForOneIncarnationUntilItsEnd)
+{
+    const UpstreamIdentity upstream = entryOf("a", 1).identity();
+    EXPECT_EQ(notices_.pausedUntil(upstream), TimePoint());
+    notices_.notePause(upstream, std::chrono::seconds(2), clock_.now());
+    const TimePoint end = clock_.now() + std::chrono::seconds(2);
+    update({});
+    update({ entryOf("a", 1) });
+    EXPECT_EQ(notices_.pausedUntil(upstream), end);
+    EXPECT_EQ(notices_.pausedUntil(entryOf("a", 2).identity()), TimePoint());
+    EXPECT_FALSE(notices_.isLeaving(upstream));
+    clock_.advance(std::chrono::seconds(1));
+    notices_.notePause(upstream, std::chrono::milliseconds(500), clock_.now());
+    EXPECT_EQ(notices_.pausedUntil(upstream), end);
+    notices_.notePause(upstream, std::chrono::hours(100000), clock_.now());
+    EXPECT_EQ(notices_.pausedUntil(upstream), clock_.now() + MaxPause);
+    clock_.advance(std::chrono::minutes(20));
+    update({});
+    EXPECT_EQ(notices_.size(), 1U);
+}
+
 TEST_F(UpstreamNoticesTest, RegisteredLeavingNeedsNoNotice)
 {
     UpstreamEntry entry = entryOf("a", 1);
