Order configurations by the store's era, and confirm no key from a copy

Seen by callers: nothing yet. With a store that comes back from a copy, a key stayed valid whose removal the store had lost, for as long as it was missing; and a version that was given out again was taken for the lost configuration of that number.

Cause: configurations were compared by version alone, and any answer with the active version confirmed that it was the newest, although a restored store may lack what it has acknowledged.

StoreEras knows which rows were surely written in the current era and whether lost ones may still be missing; ConfigurationTracker decides by it (see docs/decisions/platform.md). Nodes tell each other the era, its age and the lowest version seen, with the hash of their configuration, so a node that was cut off, frozen or started meanwhile follows the same rule. The age of an unconfirmed configuration is absent, and keys are refused.

--- a/development/platform_standins/store_stand_in.cpp
+++ b/development/platform_standins/store_stand_in.cpp
@@ -137,6 +137,9 @@
 void StoreStandIn::handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
 {
     ++calls_;
+    if (calls_ == restoreAtCall_) {
+        restore();
+    }
     const std::string target(request.target());
     switch (fault_) {
     case StoreFault::Busy:
@@ -183,8 +186,9 @@
 void StoreStandIn::answer(const std::shared_ptr<RawSession> &session, const Reply &reply)
 {
     const std::string type = reply.bytes ? "application/octet-stream" : "application/json";
-    session->send("HTTP/1.1 " + std::to_string(reply.status) + " X\r\nContent-Type: " + type
-                  + "\r\nContent-Length: " + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body);
+    session->send("HTTP/1.1 " + std::to_string(reply.status) + " X\r\nStore-Era: " + std::to_string(era_)
+                  + "\r\nContent-Type: " + type + "\r\nContent-Length: " + std::to_string(reply.body.size())
+                  + "\r\n\r\n" + reply.body);
     session->finish();
 }
 
--- a/development/platform_standins/store_stand_in.h
+++ b/development/platform_standins/store_stand_in.h
@@ -45,6 +45,21 @@
 
     void dropHistory() { tables_.dropHistory(); }
 
+    /** Keeps a copy of all rows. */
+    void copy() { copy_ = tables_; }
+
+    /** Restores the rows from the last copy; what was written since is lost, and its versions are given out again. */
+    void restore()
+    {
+        tables_ = copy_;
+        ++era_;
+    }
+
+    /** Restores the rows before the call that comes after this many more. */
+    void restoreAfterCalls(std::uint64_t calls) { restoreAtCall_ = calls_ + calls + 1; }
+
+    bool has(const std::string &table, const std::string &key) const { return tables_.get(table, "", key).has_value(); }
+
     /** Writes a row without any call; value: plain bytes. */
     void put(const std::string &table, const std::string &key, std::string_view value);
     void remove(const std::string &table, const std::string &key);
@@ -74,6 +89,9 @@
 
     boost::asio::io_context &context_;
     StoreTables tables_;
+    StoreTables copy_;
+    std::uint64_t era_ = 1;
+    std::uint64_t restoreAtCall_ = 0;
     std::map<std::string, std::string> objects_;
     StoreFault fault_ = StoreFault::None;
     std::uint64_t calls_ = 0;
--- a/development/platform_standins/store_tables.cpp
+++ b/development/platform_standins/store_tables.cpp
@@ -62,7 +62,7 @@
 
 std::optional<std::vector<StoreRow>> StoreTables::changesAfter(const std::string &table, std::uint64_t version) const
 {
-    if (version < droppedUpTo_) {
+    if (version < droppedUpTo_ || version > version_) {
         return std::nullopt;
     }
     std::vector<StoreRow> changes;
--- a/development/platform_standins/store_tables.h
+++ b/development/platform_standins/store_tables.h
@@ -41,7 +41,8 @@
                                 const std::string &to,
                                 std::size_t limit) const;
 
-    /** Changes of a table after a version, oldest first; nothing if the history does not reach back so far. */
+    /** Changes of a table after a version, oldest first; nothing if the history does not reach back so far, or if there
+     *  is no such version. */
     std::optional<std::vector<StoreRow>> changesAfter(const std::string &table, std::uint64_t version) const;
 
     /** Forgets the history up to now. */
--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -27,10 +27,15 @@
     report.node = NodeName(textOf(reader.getNode()));
     report.incarnation = reader.getIncarnation();
     report.sequence = reader.getSequence();
-    report.configuration = ConfigurationVersion(reader.getConfiguration());
+    report.configuration = { ConfigurationVersion(reader.getConfiguration()), reader.getConfigurationDigest() };
     report.configurationAge = Duration(reader.getConfigurationAge());
     report.sentAt = timeOf(reader.getSentAt());
     report.sentAfter = timeOf(reader.getSentAfter());
+    report.storeEra.era = reader.getStoreEra();
+    if (reader.getStoreEraAge() >= 0) {
+        report.storeEra.age = Duration(reader.getStoreEraAge());
+    }
+    report.storeEra.firstVersion = reader.getStoreFirstVersion();
     return report;
 }
 
@@ -106,10 +111,14 @@
     builder.setNode(pointerTo(report.node.text()));
     builder.setIncarnation(report.incarnation);
     builder.setSequence(report.sequence);
-    builder.setConfiguration(report.configuration.value());
+    builder.setConfiguration(report.configuration.version.value());
+    builder.setConfigurationDigest(report.configuration.digest);
     builder.setConfigurationAge(report.configurationAge.count());
     builder.setSentAt(report.sentAt.time_since_epoch().count());
     builder.setSentAfter(report.sentAfter.time_since_epoch().count());
+    builder.setStoreEra(report.storeEra.era);
+    builder.setStoreEraAge(report.storeEra.age.value_or(Duration(-1)).count());
+    builder.setStoreFirstVersion(report.storeEra.firstVersion);
 }
 
 void writeWork(const WorkAccount &account, PeerWire::WorkAccount::Builder builder)
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -57,6 +57,11 @@
   configurationAge @4 :Int64;
   sentAt @5 :Int64;
   sentAfter @6 :Int64;
+  configurationDigest @7 :UInt64;
+  storeEra @8 :UInt64;
+  # -1 if not known.
+  storeEraAge @9 :Int64;
+  storeFirstVersion @10 :UInt64;
 }
 
 struct StreamOrigin {
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -37,12 +37,12 @@
                            PlatformStore &store,
                            const Clock &clock,
                            RelaySystem &system,
-                           StreamReplyHandler streamReplyHandler)
+                           PeerMessageObserver &observer)
     : self_(std::move(self))
     , store_(store)
     , clock_(clock)
     , system_(system)
-    , streamReplyHandler_(std::move(streamReplyHandler))
+    , observer_(observer)
     , link_(context, [this](const std::string &from, const PeerDatagram &message) { handleDatagram(from, message); })
     , registrationTimer_(context)
     , readTimer_(context)
@@ -104,7 +104,7 @@
 void PeerExchange::readNodes()
 {
     lastRead_ = std::chrono::steady_clock::now();
-    store_.readNodes([this](const Result<std::vector<PeerNode>> &result) {
+    store_.readNodes([this](const Result<StoredNodes> &result) {
         if (stopped_) {
             return;
         }
@@ -115,7 +115,7 @@
         const std::optional<std::size_t> previousCount = system_.peers().nodeCount();
         system_.updateNodes(valueOf(result));
         if (previousCount != system_.peers().nodeCount()) {
-            LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).size()
+            LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).nodes.size()
                       << " targets=" << system_.peers().targets().size();
         }
         scheduleRead(NodeListReadPeriod);
@@ -186,7 +186,7 @@
 
 void PeerExchange::handle(const PeerNode &, const PeerReport &report)
 {
-    system_.peerReportReceived(report, clock_.now());
+    observer_.peerReportReceived(report);
 }
 
 void PeerExchange::handle(const PeerNode &peer, const WorkReport &report)
@@ -214,7 +214,7 @@
 
 void PeerExchange::handle(const PeerNode &, const StreamReply &reply)
 {
-    streamReplyHandler_(reply);
+    observer_.streamReplyReceived(reply);
 }
 
 } // namespace GeraniumLever
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -9,19 +9,26 @@
 
 namespace GeraniumLever {
 
+/** Receives the messages that may lead to commands. */
+class PeerMessageObserver
+{
+public:
+    virtual ~PeerMessageObserver() = default;
+    virtual void peerReportReceived(const PeerReport &report) = 0;
+    virtual void streamReplyReceived(const StreamReply &reply) = 0;
+};
+
 /** Registers the node in the store, discovers the other relays there, and sends and receives reports. */
 class PeerExchange
 {
 public:
-    using StreamReplyHandler = std::function<void(const StreamReply &)>;
-
-    /** The store, the clock and the system must outlive the exchange. */
+    /** The store, the clock, the system and the observer must outlive the exchange. */
     PeerExchange(boost::asio::io_context &context,
                  PeerNode self,
                  PlatformStore &store,
                  const Clock &clock,
                  RelaySystem &system,
-                 StreamReplyHandler streamReplyHandler);
+                 PeerMessageObserver &observer);
 
     /** Does nothing if the node has no peer address. */
     Result<Success> start();
@@ -49,7 +56,7 @@
     PlatformStore &store_;
     const Clock &clock_;
     RelaySystem &system_;
-    StreamReplyHandler streamReplyHandler_;
+    PeerMessageObserver &observer_;
     PeerLink link_;
     boost::asio::steady_timer registrationTimer_;
     boost::asio::steady_timer readTimer_;
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-struct RelayNode::State : RelayCallerObserver, RelayExchangeObserver, StorePollObserver
+struct RelayNode::State : RelayCallerObserver, RelayExchangeObserver, StorePollObserver, PeerMessageObserver
 {
     /** State of a request that the relay logic does not hold. */
     struct OpenCall
@@ -77,15 +77,12 @@
         , upstreamClient(context, codec, *this)
         , store(context, settings.storeAddress, StoreTimeout)
         , storePoller(context, store, settings.applyTime, clock, *this)
-        , peerExchange(
-              context,
-              { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
-              store,
-              clock,
-              system,
-              [this](const StreamReply &reply) {
-                  perform([&](RelayCommands &commands) { system.streamReplyReceived(reply, clock.now(), commands); });
-              })
+        , peerExchange(context,
+                       { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
+                       store,
+                       clock,
+                       system,
+                       *this)
         , statusServer(OperatorServerSettings { settings.statusAddress, {} },
                        context,
                        [this](const OperatorRequest &request, OperatorServer::Responder respond) {
@@ -175,20 +172,21 @@
 
     // StorePollObserver
 
-    void configurationRead(SiteConfigurationPtr configuration, TimePoint asOf) override
+    void configurationRead(const StoredConfiguration &configuration, TimePoint asOf) override
     {
         metrics.recordStoreRead(true);
-        const ConfigurationVersion before = system.configuration().version();
-        perform([&](RelayCommands &commands) { system.applyConfiguration(configuration, asOf, commands); });
-        if (system.configuration().version() != before) {
+        const ConfigurationId before = system.configuration().id();
+        perform(
+            [&](RelayCommands &commands) { system.applyConfiguration(configuration, asOf, clock.now(), commands); });
+        if (system.configuration().id() != before) {
             callerServer.setLimits(system.configuration().table()->configuration().limits);
         }
     }
 
-    void upstreamsRead(std::vector<UpstreamEntry> entries, TimePoint asOf) override
+    void upstreamsRead(const StoredUpstreams &upstreams, TimePoint asOf) override
     {
         metrics.recordStoreRead(true);
-        perform([&](RelayCommands &commands) { system.updateUpstreams(entries, asOf, clock.now(), commands); });
+        perform([&](RelayCommands &commands) { system.updateUpstreams(upstreams, asOf, clock.now(), commands); });
     }
 
     void readFailed(const Error &error) override
@@ -208,6 +206,18 @@
         LOG(INFO) << "event=store_regained";
     }
 
+    // PeerMessageObserver
+
+    void peerReportReceived(const PeerReport &report) override
+    {
+        perform([&](RelayCommands &commands) { system.peerReportReceived(report, clock.now(), commands); });
+    }
+
+    void streamReplyReceived(const StreamReply &reply) override
+    {
+        perform([&](RelayCommands &commands) { system.streamReplyReceived(reply, clock.now(), commands); });
+    }
+
     // Execution of commands
 
     template<typename Step>
--- a/main/relay/store_poller.cpp
+++ b/main/relay/store_poller.cpp
@@ -49,12 +49,11 @@
 void StorePoller::readConfiguration()
 {
     const TimePoint asOf = clock_.now();
-    store_.readConfiguration([this, asOf](Result<SiteConfiguration> result) {
+    store_.readConfiguration([this, asOf](const Result<StoredConfiguration> &result) {
         const bool read = succeeded(result);
         trackAvailability(read ? std::nullopt : std::optional<Error>(errorOf(result)));
         if (read) {
-            observer_.configurationRead(
-                std::make_shared<const SiteConfiguration>(std::get<SiteConfiguration>(std::move(result))), asOf);
+            observer_.configurationRead(valueOf(result), asOf);
         }
         schedule(configurationTimer_, asOf, read, &StorePoller::readConfiguration);
     });
@@ -63,11 +62,11 @@
 void StorePoller::readUpstreams()
 {
     const TimePoint asOf = clock_.now();
-    store_.readUpstreams([this, asOf](Result<std::vector<UpstreamEntry>> result) {
+    store_.readUpstreams([this, asOf](const Result<StoredUpstreams> &result) {
         const bool read = succeeded(result);
         trackAvailability(read ? std::nullopt : std::optional<Error>(errorOf(result)));
         if (read) {
-            observer_.upstreamsRead(std::get<std::vector<UpstreamEntry>>(std::move(result)), asOf);
+            observer_.upstreamsRead(valueOf(result), asOf);
         }
         schedule(upstreamTimer_, asOf, read, &StorePoller::readUpstreams);
     });
--- a/main/relay/store_poller.h
+++ b/main/relay/store_poller.h
@@ -16,8 +16,8 @@
 {
 public:
     virtual ~StorePollObserver() = default;
-    virtual void configurationRead(SiteConfigurationPtr configuration, TimePoint asOf) = 0;
-    virtual void upstreamsRead(std::vector<UpstreamEntry> upstreams, TimePoint asOf) = 0;
+    virtual void configurationRead(const StoredConfiguration &configuration, TimePoint asOf) = 0;
+    virtual void upstreamsRead(const StoredUpstreams &upstreams, TimePoint asOf) = 0;
     virtual void readFailed(const Error &error) = 0;
     virtual void storeRecovered() = 0;
 };
--- a/servers/relay/peer_view.h
+++ b/servers/relay/peer_view.h
@@ -24,6 +24,13 @@
     auto operator<=>(const PeerNode &) const = default;
 };
 
+/** All registered relays as they were read from the store. */
+struct StoredNodes
+{
+    std::vector<PeerNode> nodes;
+    StoreState state;
+};
+
 /** Status report that a relay sends to its peers once a second. Lost reports are not sent again. */
 struct PeerReport
 {
@@ -31,9 +38,11 @@
     std::uint64_t incarnation = 0;
     /** Increases with each report of one incarnation. */
     std::uint64_t sequence = 0;
-    ConfigurationVersion configuration;
+    /** All zero if the sender does not know whether its configuration is the newest. */
+    ConfigurationId configuration;
     /** Time since the sender's configuration was last known to be the newest. */
     Duration configurationAge { 0 };
+    StoreEraReport storeEra;
     /** Sender's clock when the report was sent. */
     TimePoint sentAt;
     /** The sentAt of the newest report from the receiver that the sender had received when it sent this one, on the
--- a/servers/relay/relay_admission.cpp
+++ b/servers/relay/relay_admission.cpp
@@ -41,7 +41,7 @@
     RelayRow row;
     const RouteTeam *team = nullptr;
     if (table->needsKey(*route)) {
-        if (*configuration.age(now) > limits.keyLifetime) {
+        if (configuration.age(now).value_or(Duration::max()) > limits.keyLifetime) {
             return Error { ResultCode::ConfigurationOutdated,
                            "the configuration is too old to validate keys",
                            ConfigurationRetryAfter };
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -48,9 +48,11 @@
 
 } // namespace
 
-Decision recordConfiguration(const SiteConfiguration &configuration, ConfigurationVersion before)
+Decision recordConfiguration(const StoredConfiguration &stored, ConfigurationVersion before)
 {
+    const SiteConfiguration &configuration = *stored.configuration;
     Decision decision { "configuration", {} };
+    decision.fields.emplace_back("era", std::to_string(stored.state.era));
     decision.fields.emplace_back("version", std::to_string(configuration.version.value()));
     decision.fields.emplace_back("before", std::to_string(before.value()));
     decision.fields.emplace_back("routes", std::to_string(configuration.routes.size()));
@@ -58,6 +60,16 @@
     return decision;
 }
 
+Decision recordStoreEra(const StoreEras &eras, TimePoint now)
+{
+    const StoreEraReport known = eras.report(now);
+    Decision decision { "store_restored", {} };
+    decision.fields.emplace_back("era", std::to_string(known.era));
+    decision.fields.emplace_back("age_ms", known.age.has_value() ? milliseconds(*known.age) : "none");
+    decision.fields.emplace_back("first_version", std::to_string(known.firstVersion));
+    return decision;
+}
+
 std::vector<Decision> recordDirectoryChanges(const DirectoryChanges &changes)
 {
     const std::pair<const char *, const std::vector<UpstreamName> *> kinds[] = {
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -9,7 +9,10 @@
 namespace GeraniumLever {
 
 /** Another configuration became active. */
-Decision recordConfiguration(const SiteConfiguration &configuration, ConfigurationVersion before);
+Decision recordConfiguration(const StoredConfiguration &stored, ConfigurationVersion before);
+
+/** The store has been restored from a copy. */
+Decision recordStoreEra(const StoreEras &eras, TimePoint now);
 
 /** One record for each upstream that has changed. */
 std::vector<Decision> recordDirectoryChanges(const DirectoryChanges &changes);
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -73,22 +73,31 @@
 
 // Configuration and fleet state.
 
-void RelaySystem::applyConfiguration(const SiteConfigurationPtr &configuration, TimePoint asOf, RelayCommands &commands)
+void RelaySystem::noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands)
 {
+    if (storeEras_.note(state, now)) {
+        commands.emplace_back(recordStoreEra(storeEras_, now));
+    }
+}
+
+void RelaySystem::applyConfiguration(const StoredConfiguration &stored,
+                                     TimePoint asOf,
+                                     TimePoint now,
+                                     RelayCommands &commands)
+{
+    noteStoreState(stored.state, now, commands);
     directory_.readSucceeded(asOf);
     const ConfigurationVersion before = configuration_.version();
-    if (!configuration_.update(configuration, asOf)) {
+    if (!configuration_.update(stored, storeEras_, asOf)) {
         return;
     }
-    commands.emplace_back(recordConfiguration(*configuration, before));
+    commands.emplace_back(recordConfiguration(stored, before));
 }
 
-void RelaySystem::updateUpstreams(const std::vector<UpstreamEntry> &list,
-                                  TimePoint asOf,
-                                  TimePoint now,
-                                  RelayCommands &commands)
+void RelaySystem::updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
-    handleDirectoryChanges(directory_.update(list, asOf, now), commands);
+    noteStoreState(stored.state, now, commands);
+    handleDirectoryChanges(directory_.update(stored.upstreams, asOf, now), commands);
     poolVersions_.update(directory_.entries(), asOf);
     notices_.update(directory_.entries(), now);
     for (auto &[queueKey, queue] : queues_) {
@@ -107,8 +116,9 @@
     }
 }
 
-void RelaySystem::updateNodes(const std::vector<PeerNode> &nodes)
+void RelaySystem::updateNodes(const StoredNodes &stored)
 {
+    const std::vector<PeerNode> &nodes = stored.nodes;
     peers_.updateNodes(nodes);
     workExchange_.updateNodes(nodes);
     origins_.updateNodes(nodes);
@@ -117,13 +127,21 @@
     }
 }
 
-void RelaySystem::peerReportReceived(const PeerReport &report, TimePoint now)
+void RelaySystem::peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands)
 {
-    if (!peers_.receive(report, now) || report.sentAfter == TimePoint() || report.sentAfter > now) {
+    if (!peers_.receive(report, now)) {
+        return;
+    }
+    if (storeEras_.note(report.storeEra, now)) {
+        commands.emplace_back(recordStoreEra(storeEras_, now));
+        // What this node read of the era was taken for the newest state, although lost rows may have been missing.
+        configuration_.withdrawConfirmations(*storeEras_.since());
+    }
+    if (report.sentAfter == TimePoint() || report.sentAfter > now) {
         return;
     }
     // The peer sent the report after sentAfter and knew this by then.
-    configuration_.confirm(report.configuration, report.sentAfter - report.configurationAge);
+    configuration_.confirm(report.configuration, storeEras_, report.sentAfter - report.configurationAge);
 }
 
 PeerReport RelaySystem::reportFor(const NodeName &peer, TimePoint now)
@@ -132,8 +150,12 @@
     report.node = settings_.node;
     report.incarnation = settings_.origin;
     report.sequence = ++lastReportSequence_;
-    report.configuration = configuration_.version();
-    report.configurationAge = configuration_.age(now).value_or(Duration(0));
+    const std::optional<Duration> age = configuration_.age(now);
+    if (age.has_value()) {
+        report.configuration = configuration_.id();
+        report.configurationAge = *age;
+    }
+    report.storeEra = storeEras_.report(now);
     report.sentAt = now;
     report.sentAfter = peers_.lastSentAt(peer);
     return report;
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -35,22 +35,19 @@
 public:
     explicit RelaySystem(RelaySystemSettings settings);
 
-    /** Applies a configuration that was the newest one at some time not before asOf. */
-    void applyConfiguration(const SiteConfigurationPtr &configuration, TimePoint asOf, RelayCommands &commands);
+    /** Applies a configuration that was read at some time not before asOf. */
+    void applyConfiguration(const StoredConfiguration &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
     /** Applies the complete list of registered upstreams, which was current at some time not before asOf. */
-    void updateUpstreams(const std::vector<UpstreamEntry> &list,
-                         TimePoint asOf,
-                         TimePoint now,
-                         RelayCommands &commands);
+    void updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
     void registryReadFailed() { directory_.readFailed(); }
 
     /** Replaces the list of relays. */
-    void updateNodes(const std::vector<PeerNode> &nodes);
+    void updateNodes(const StoredNodes &stored);
 
     /** Handles the report of another relay. */
-    void peerReportReceived(const PeerReport &report, TimePoint now);
+    void peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands);
 
     /** The report to send to another relay. */
     PeerReport reportFor(const NodeName &peer, TimePoint now);
@@ -100,6 +97,7 @@
     /** True if the node can accept requests: it has a configuration and a list of upstreams. */
     bool ready() const { return configuration_.table() != nullptr && directory_.hasList(); }
 
+    const StoreEras &storeEras() const { return storeEras_; }
     const ConfigurationTracker &configuration() const { return configuration_; }
     const UpstreamDirectory &directory() const { return directory_; }
 
@@ -107,6 +105,8 @@
     std::vector<RelayRequestMetrics> takeRequestMetrics();
 
 private:
+    /** Records which state of the store an answer shows. */
+    void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
     /** Finds out which version began the stream that the request takes up. */
@@ -149,6 +149,7 @@
     RelayRetryBudget &budgetOf(const PoolName &pool);
 
     RelaySystemSettings settings_;
+    StoreEras storeEras_;
     ConfigurationTracker configuration_;
     UpstreamDirectory directory_;
     UpstreamNotices notices_;
--- a/servers/routing/routing.h
+++ b/servers/routing/routing.h
@@ -8,5 +8,6 @@
 #include "servers/routing/pool_versions.h"
 #include "servers/routing/route_table.h"
 #include "servers/routing/site_configuration.h"
+#include "servers/routing/store_eras.h"
 #include "servers/routing/upstream_directory.h"
 #include "servers/routing/upstream_notices.h"
--- a/servers/routing/site_configuration.h
+++ b/servers/routing/site_configuration.h
@@ -14,6 +14,16 @@
 /** Version number of a configuration; newer configurations have higher numbers. */
 using ConfigurationVersion = Number<struct ConfigurationVersionTag>;
 
+/** Identifies a configuration. A store that is restored from a copy may give the same version to another one. */
+struct ConfigurationId
+{
+    ConfigurationVersion version;
+    /** Hash of the text that it was decoded from. */
+    std::uint64_t digest = 0;
+
+    auto operator<=>(const ConfigurationId &) const = default;
+};
+
 /** A pool and its weight among the pools of a route. */
 struct PoolShare
 {
@@ -108,6 +118,10 @@
     InputLimits limits;
     /** If empty, no route needs an API key. */
     std::vector<RouteTeam> teams;
+    /** Hash of the text that it was decoded from. */
+    std::uint64_t digest = 0;
+
+    ConfigurationId id() const { return { version, digest }; }
 
     bool operator==(const SiteConfiguration &) const = default;
 };
--- /dev/null
+++ b/servers/routing/store_eras.h
@@ -0,0 +1,73 @@
+/** Eras of the store, which begin when it is restored from a copy. */
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+
+#include "core/core.h"
+
+namespace GeraniumLever {
+
+/** State of the store that an answer shows. */
+struct StoreState
+{
+    /** Rises each time the store is restored from a copy; 0 if not stated. */
+    std::uint64_t era = 0;
+    /** The newest version of any row. A restored store gives the versions that it has lost out again. */
+    std::uint64_t version = 0;
+
+    auto operator<=>(const StoreState &) const = default;
+};
+
+/** What a node knows about the store's current era, as told to other nodes. */
+struct StoreEraReport
+{
+    /** 0 if not known. */
+    std::uint64_t era = 0;
+    /** Time since any node first saw the era; absent if the sender started later and has not been told. */
+    std::optional<Duration> age;
+    /** The lowest StoreState::version that any node has seen in the era. */
+    std::uint64_t firstVersion = std::numeric_limits<std::uint64_t>::max();
+
+    auto operator<=>(const StoreEraReport &) const = default;
+};
+
+/** Time after a restoration within which the writers of lost rows are expected to have written them again. */
+constexpr Duration StoreRewriteTime = std::chrono::seconds(3);
+
+/** Tells which rows of the store were written after its last restoration, and whether lost rows may still be missing.
+ */
+class StoreEras
+{
+public:
+    /** Records an answer that arrived at this time; returns true if a later era than the one known before has begun. */
+    bool note(const StoreState &state, TimePoint now);
+
+    /** Records what another node knows; returns true if this node learns of an era, or of when it began. */
+    bool note(const StoreEraReport &report, TimePoint now);
+
+    std::uint64_t era() const { return era_; }
+
+    /** When any node first saw the era; absent if this node does not know, because it started later. */
+    const std::optional<TimePoint> &since() const { return since_; }
+
+    /** True if the answer precedes the current era. */
+    bool isOutdated(const StoreState &state) const { return state.era < era_; }
+
+    /** True if a row with this version was surely written in the current era, not restored from the copy. */
+    bool isWrittenInEra(std::uint64_t rowVersion) const { return rowVersion > firstVersion_; }
+
+    /** True if rows that the store has lost may have been missing from a read that was sent at this time. */
+    bool mayLackRows(TimePoint asOf) const { return since_.has_value() && asOf < *since_ + StoreRewriteTime; }
+
+    StoreEraReport report(TimePoint now) const;
+
+private:
+    std::uint64_t era_ = 0;
+    std::optional<TimePoint> since_;
+    /** At least the newest version of the copy. */
+    std::uint64_t firstVersion_ = std::numeric_limits<std::uint64_t>::max();
+};
+
+} // namespace GeraniumLever
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "core/core.h"
+#include "servers/routing/store_eras.h"
 
 namespace GeraniumLever {
 
@@ -40,12 +40,21 @@
     Duration warmUpLeft { 0 };
     /** Distinguishes restarts under the same name; 0 if not stated. */
     std::uint64_t incarnation = 0;
+    /** Version of its row in the store. */
+    std::uint64_t rowVersion = 0;
 
     UpstreamIdentity identity() const { return { name, address, incarnation }; }
 
     auto operator<=>(const UpstreamEntry &) const = default;
 };
 
+/** All registered upstreams as they were read from the store. */
+struct StoredUpstreams
+{
+    std::vector<UpstreamEntry> upstreams;
+    StoreState state;
+};
+
 /** Differences between two successive lists of upstreams. */
 struct DirectoryChanges
 {
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -11,10 +11,11 @@
     report.node = NodeName("node-1");
     report.incarnation = 17;
     report.sequence = 3;
-    report.configuration = ConfigurationVersion(9);
+    report.configuration = { ConfigurationVersion(9), 0xfedcba9876543210 };
     report.configurationAge = std::chrono::milliseconds(250);
     report.sentAt = TimePoint(std::chrono::seconds(100));
     report.sentAfter = TimePoint(std::chrono::seconds(99));
+    report.storeEra = { 4, std::chrono::seconds(2), 77 };
     return report;
 }
 
--- /dev/null
+++ b/tests/main/relay/relay_restoration_test.cpp
@@ -0,0 +1,95 @@
+#include "tests/main/relay/relay_node_fixture.h"
+
+namespace GeraniumLever {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** The store comes back from a copy and has lost what was written since. */
+class RelayRestorationTest : public RelayNodeFixture
+{
+protected:
+    RelayRestorationTest()
+    {
+        settings_.keyLifetime = milliseconds(800);
+        keys_ = "\"key-one\",\"key-two\"";
+        writeConfiguration();
+    }
+
+    unsigned statusWithKey(const std::string &key, const std::string &path = "/read/1")
+    {
+        std::string text = request("r" + std::to_string(++lastId_), "GET", path);
+        text.replace(text.find("key-one"), 7, key);
+        return sendRequest(text).status;
+    }
+
+    void waitForPolls() { runFor(milliseconds(300)); }
+
+    int lastId_ = 0;
+};
+
+TEST_F(RelayRestorationTest, RemovedKeyIsNotHonouredWhileTheStoreHasLostItsRemoval)
+{
+    addServer("p1", "plain");
+    startNode();
+    ASSERT_EQ(statusWithKey("key-two"), 200U);
+    store_.copy();
+    store_.setFault(StoreFault::Reset);
+    keys_ = "\"key-one\"";
+    ++version_;
+    writeConfiguration();
+    const std::chrono::steady_clock::time_point removedAt = std::chrono::steady_clock::now();
+    store_.restore();
+    store_.setFault(StoreFault::None);
+    while (std::chrono::steady_clock::now() < removedAt + milliseconds(2000)) {
+        const bool mayRun = std::chrono::steady_clock::now() < removedAt + milliseconds(800);
+        EXPECT_TRUE(statusWithKey("key-two") != 200U || mayRun);
+        runFor(milliseconds(50));
+    }
+    writeConfiguration();
+    waitForPolls();
+    EXPECT_EQ(statusWithKey("key-two"), 401U);
+    EXPECT_EQ(statusWithKey("key-one"), 200U);
+}
+
+TEST_F(RelayRestorationTest, NodeKeepsAConfigurationThatTheStoreHasLost)
+{
+    addServer("p1", "plain");
+    startNode();
+    store_.copy();
+    keys_ = "\"key-one\",\"key-three\"";
+    ++version_;
+    writeConfiguration();
+    waitForPolls();
+    ASSERT_EQ(statusWithKey("key-three"), 200U);
+    store_.restore();
+    for (int step = 0; step < 20; ++step) {
+        EXPECT_NE(statusWithKey("key-two"), 200U);
+        EXPECT_NE(statusWithKey("key-three"), 401U);
+        runFor(milliseconds(50));
+    }
+    writeConfiguration();
+    waitForPolls();
+    EXPECT_EQ(statusWithKey("key-three"), 200U);
+}
+
+TEST_F(RelayRestorationTest, VersionThatIsGivenOutAgainStandsForTheNewConfiguration)
+{
+    addServer("p1", "plain");
+    startNode();
+    store_.copy();
+    keys_ = "\"key-one\",\"key-three\"";
+    ++version_;
+    writeConfiguration();
+    waitForPolls();
+    ASSERT_EQ(statusWithKey("key-three"), 200U);
+    store_.restore();
+    keys_ = "\"key-one\",\"key-four\"";
+    writeConfiguration();
+    waitForPolls();
+    EXPECT_EQ(statusWithKey("key-four"), 200U);
+    EXPECT_EQ(statusWithKey("key-three"), 401U);
+}
+
+} // namespace
+} // namespace GeraniumLever
--- a/tests/servers/relay/fleet_load_test.cpp
+++ b/tests/servers/relay/fleet_load_test.cpp
@@ -74,9 +74,10 @@
         }
         RelayCommands ignored;
         for (const std::unique_ptr<RelaySystem> &node : nodes_) {
-            node->updateNodes(peers);
-            node->applyConfiguration(std::make_shared<const SiteConfiguration>(configuration), clock_.now(), ignored);
-            node->updateUpstreams(upstreams, clock_.now(), clock_.now(), ignored);
+            node->updateNodes({ peers, {} });
+            const SiteConfigurationPtr shared = std::make_shared<const SiteConfiguration>(configuration);
+            node->applyConfiguration({ shared, 0, {} }, clock_.now(), clock_.now(), ignored);
+            node->updateUpstreams({ upstreams, {} }, clock_.now(), clock_.now(), ignored);
         }
     }
 
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -91,9 +91,18 @@
     for (int number = 0; number < Nodes; ++number) {
         nodes.push_back({ NodeName("node-" + std::to_string(number)), DataCenterName("dc"), "127.0.0.1:1" });
     }
-    system_.updateNodes(nodes);
-    system_.applyConfiguration(std::make_shared<const SiteConfiguration>(configuration_), clock_.now(), commands_);
-    system_.updateUpstreams(upstreams_, clock_.now(), clock_.now(), commands_);
+    system_.updateNodes({ nodes, storeState_ });
+    readStore();
+}
+
+void RelayFixture::readStore()
+{
+    system_.applyConfiguration(
+        { std::make_shared<const SiteConfiguration>(configuration_), configurationRow_, storeState_ },
+        clock_.now(),
+        clock_.now(),
+        commands_);
+    system_.updateUpstreams({ upstreams_, storeState_ }, clock_.now(), clock_.now(), commands_);
 }
 
 RequestId RelayFixture::arrive(const std::string &path, const std::string &key, PromptInfo prompt)
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -17,8 +17,14 @@
     SiteConfiguration configuration_;
     std::vector<UpstreamEntry> upstreams_;
 
-    /** Passes the configuration and the upstreams to the system, as of now. */
+    /** What the store states along with both. */
+    StoreState storeState_;
+    std::uint64_t configurationRow_ = 0;
+
+    /** Passes the nodes, the configuration and the upstreams to the system, as of now. */
     void configure();
+    /** Passes the configuration and the upstreams to the system, as of now. */
+    void readStore();
 
     /** Sends a request; returns its identifier. */
     RequestId arrive(const std::string &path, const std::string &key = "key-one", PromptInfo prompt = {});
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -43,25 +43,46 @@
     report.node = NodeName("node-3");
     report.incarnation = 1;
     report.sequence = 1;
-    report.configuration = ConfigurationVersion(1);
+    report.configuration = { ConfigurationVersion(1), 0 };
     report.configurationAge = seconds(1);
     report.sentAfter = echoedAt;
     advance(seconds(1));
-    system_.peerReportReceived(report, clock_.now());
+    system_.peerReportReceived(report, clock_.now(), commands_);
     EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2));
     report.sequence = 2;
-    report.configuration = ConfigurationVersion(2);
+    report.configuration = { ConfigurationVersion(2), 0 };
     report.sentAfter = clock_.now();
-    system_.peerReportReceived(report, clock_.now());
+    system_.peerReportReceived(report, clock_.now(), commands_);
     EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2)) << "a report of another version confirms nothing";
     report.sequence = 3;
-    report.configuration = ConfigurationVersion(1);
+    report.configuration = { ConfigurationVersion(1), 0 };
     report.sentAfter = TimePoint();
-    system_.peerReportReceived(report, clock_.now());
+    system_.peerReportReceived(report, clock_.now(), commands_);
     EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2))
         << "a report without an echoed time cannot be dated";
 }
 
+TEST_F(RelaySystemTest, KeysAreRefusedOnceAPeerReportsThatTheStoreHasJustBeenRestored)
+{
+    storeState_ = { 2, 100 };
+    configurationRow_ = 90;
+    configure();
+    EXPECT_EQ(dispatches(arrive("/read/1")).size(), 1U);
+    PeerReport report;
+    report.node = NodeName("node-3");
+    report.sequence = 1;
+    report.storeEra = { 2, seconds(1), 100 };
+    system_.peerReportReceived(report, clock_.now(), commands_);
+    EXPECT_EQ(refusals(arrive("/read/1")).at(0).error.code, ResultCode::ConfigurationOutdated);
+    EXPECT_EQ(system_.reportFor(NodeName("node-3"), clock_.now()).configuration, ConfigurationId());
+    advance(seconds(1));
+    readStore();
+    EXPECT_EQ(refusals(arrive("/read/1")).at(0).error.code, ResultCode::ConfigurationOutdated);
+    advance(seconds(1));
+    readStore();
+    EXPECT_EQ(dispatches(arrive("/read/1")).size(), 1U);
+}
+
 TEST_F(RelaySystemTest, OpenRoutesNeedNoFreshConfiguration)
 {
     configuration_.routes[2].open = true;
--- a/tests/servers/relay/stream_resumption_test.cpp
+++ b/tests/servers/relay/stream_resumption_test.cpp
@@ -63,9 +63,7 @@
     {
         for (int second = 0; second < count; ++second) {
             advance(seconds(1));
-            system_.applyConfiguration(
-                std::make_shared<const SiteConfiguration>(configuration_), clock_.now(), commands_);
-            system_.updateUpstreams(upstreams_, clock_.now(), clock_.now(), commands_);
+            readStore();
         }
     }
 
