Let no row of a restored store undo what is known of an upstream

Seen by callers: nothing yet. With a store that comes back from a copy, requests went to upstreams that had left or gone since the copy was made, and upstreams that had registered since got none, down to a refusal of everything if none else was left.

Cause: each list of the registry replaced the one before, in whatever order the store had written its rows.

Change: the directory knows for each upstream the version of the newest row, or of the list that lacked it. After a restoration, a row that precedes it and was not surely written since is ignored, unless it says that the upstream leaves or has started again. Entries that the copy lacks are retained like lapsed ones. The list of an earlier era is ignored. All of it holds again after each further restoration.

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -97,7 +97,7 @@
 void RelaySystem::updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
     noteStoreState(stored.state, now, commands);
-    handleDirectoryChanges(directory_.update(stored.upstreams, asOf, now), commands);
+    handleDirectoryChanges(directory_.update(stored, storeEras_, asOf, now), commands);
     poolVersions_.update(directory_.entries(), asOf);
     notices_.update(directory_.entries(), now);
     for (auto &[queueKey, queue] : queues_) {
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -75,8 +75,13 @@
 /** An entry lapses after three missed heartbeats, one of which it may have missed before an outage. */
 constexpr double MinLapseHeartbeats = 1.5;
 
+/** Time after a restoration of the store after which a restored entry has lapsed unless its upstream renews it. */
+constexpr Duration RestoredEntryLifetime = std::chrono::seconds(10);
+
 /** Applies complete lists read from the registry. An entry that is missing from every list since a registry outage may
- *  have lapsed only because of the outage, so it is retained until ReregistrationGrace has passed. */
+ *  have lapsed only because of the outage, so it is retained until ReregistrationGrace has passed; the same holds for
+ *  one that a restored store has lost. What a restored store states of an upstream is ignored if a row that is known
+ *  from before says otherwise and is newer. */
 class UpstreamDirectory
 {
 public:
@@ -85,9 +90,8 @@
     void setHeartbeat(Duration interval) { heartbeat_ = interval; }
 
     /** Applies a complete list, which was current at some time not before asOf. Lists older than the last one are
-     * ignored.
-     */
-    DirectoryChanges update(const std::vector<UpstreamEntry> &list, TimePoint asOf, TimePoint now);
+     *  ignored. eras: must know of the list's state. */
+    DirectoryChanges update(const StoredUpstreams &stored, const StoreEras &eras, TimePoint asOf, TimePoint now);
 
     /** Removes the entries that did not register again in time. To be called every few tens of milliseconds. */
     DirectoryChanges expire(TimePoint now);
@@ -104,7 +108,30 @@
     bool hasList() const { return hasList_; }
 
 private:
+    /** The newest row of an upstream that a list has shown, or the first list without it. */
+    struct KnownRow
+    {
+        std::uint64_t era = 0;
+        /** Of the row, or of the store when it was found missing. */
+        std::uint64_t version = 0;
+        std::uint64_t incarnation = 0;
+        TimePoint seenAt;
+    };
+
+    /** True if the row precedes the one that is known. */
+    bool isOutdated(const UpstreamEntry &entry, const StoreState &state, const StoreEras &eras) const;
+    /** Applies a listed entry; returns the one that holds now, or nullptr if the upstream is gone. */
+    const UpstreamEntry *apply(const UpstreamEntry &entry,
+                               const StoredUpstreams &stored,
+                               const StoreEras &eras,
+                               TimePoint now,
+                               DirectoryChanges &changes);
+    void noteRemoved(const UpstreamName &name, TimePoint now);
+
     Table<UpstreamName, UpstreamEntry> entries_;
+    Table<UpstreamName, KnownRow> knownRows_;
+    /** State of the store that the newest list showed. */
+    StoreState listState_;
     /** When the read that returned the newest list was sent. */
     TimePoint listAsOf_;
     /** Entries that may have lapsed during an outage, with the time until which they are retained. */
--- a/tests/main/relay/relay_restoration_test.cpp
+++ b/tests/main/relay/relay_restoration_test.cpp
@@ -5,13 +5,15 @@
 
 using std::chrono::milliseconds;
 
+constexpr milliseconds KeyLifetime(800);
+
 /** The store comes back from a copy and has lost what was written since. */
 class RelayRestorationTest : public RelayNodeFixture
 {
 protected:
     RelayRestorationTest()
     {
-        settings_.keyLifetime = milliseconds(800);
+        settings_.keyLifetime = KeyLifetime;
         keys_ = "\"key-one\",\"key-two\"";
         writeConfiguration();
     }
@@ -23,6 +25,13 @@
         return sendRequest(text).status;
     }
 
+    std::string serverOf(const std::string &path)
+    {
+        const std::string id = "r" + std::to_string(++lastId_);
+        sendRequest(request(id, "POST", path, "prompt"));
+        return ledger_[id].empty() ? "" : ledger_[id].back().server;
+    }
+
     void waitForPolls() { runFor(milliseconds(300)); }
 
     int lastId_ = 0;
@@ -42,7 +51,7 @@
     store_.restore();
     store_.setFault(StoreFault::None);
     while (std::chrono::steady_clock::now() < removedAt + milliseconds(2000)) {
-        const bool mayRun = std::chrono::steady_clock::now() < removedAt + milliseconds(800);
+        const bool mayRun = std::chrono::steady_clock::now() < removedAt + KeyLifetime;
         EXPECT_TRUE(statusWithKey("key-two") != 200U || mayRun);
         runFor(milliseconds(50));
     }
@@ -91,5 +100,53 @@
     EXPECT_EQ(statusWithKey("key-three"), 401U);
 }
 
+TEST_F(RelayRestorationTest, ServersWhoseEntriesTheStoreHasLostGoOnServing)
+{
+    settings_.keyLifetime = std::chrono::seconds(30);
+    addServer("p1", "plain");
+    startNode();
+    store_.remove("servers", "p1");
+    store_.copy();
+    addServer("p2", "plain");
+    waitForPolls();
+    ASSERT_EQ(serverOf("/once/1"), "p2");
+    for (int restoration = 0; restoration < 2; ++restoration) {
+        store_.restore();
+        for (int step = 0; step < 10; ++step) {
+            EXPECT_EQ(serverOf("/once/1"), "p2");
+            runFor(milliseconds(100));
+        }
+    }
+    registerServer(*servers_[1], "p2");
+    runFor(milliseconds(2500));
+    EXPECT_EQ(serverOf("/once/1"), "p2");
+}
+
+TEST_F(RelayRestorationTest, RestoredEntriesOfLeavingAndGoneServersBringNoRequestsBack)
+{
+    settings_.keyLifetime = std::chrono::seconds(30);
+    for (const std::string name : { "p1", "p2", "p3" }) {
+        addServer(name, "plain");
+    }
+    startNode();
+    store_.copy();
+    registerServer(*servers_[0], "p1", "draining");
+    store_.remove("servers", "p2");
+    waitForPolls();
+    ASSERT_EQ(serverOf("/once/1"), "p3");
+    for (int restoration = 0; restoration < 2; ++restoration) {
+        store_.restore();
+        for (int step = 0; step < 20; ++step) {
+            EXPECT_EQ(serverOf("/once/1"), "p3");
+            runFor(milliseconds(25));
+        }
+    }
+    // It is alive: it writes its entry again.
+    registerServer(*servers_[1], "p2");
+    store_.remove("servers", "p3");
+    waitForPolls();
+    EXPECT_EQ(serverOf("/once/1"), "p2");
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/routing/upstream_directory_test.cpp
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -22,14 +22,19 @@
 class UpstreamDirectoryTest : public testing::Test
 {
 protected:
-    DirectoryChanges update(const std::vector<UpstreamEntry> &list)
+    DirectoryChanges update(const std::vector<UpstreamEntry> &list) { return updateAsOf(list, clock_.now()); }
+
+    DirectoryChanges updateAsOf(const std::vector<UpstreamEntry> &list, TimePoint asOf)
     {
-        return directory_.update(list, clock_.now(), clock_.now());
+        eras_.note(state_, clock_.now());
+        return directory_.update({ list, state_ }, eras_, asOf, clock_.now());
     }
 
     bool has(const std::string &name) const { return directory_.entries().contains(UpstreamName(name)); }
 
     SteppedClock clock_;
+    StoreState state_;
+    StoreEras eras_;
     UpstreamDirectory directory_;
 };
 
@@ -97,7 +102,7 @@
     clock_.advance(seconds(5));
     const TimePoint sent = clock_.now();
     clock_.advance(milliseconds(500));
-    directory_.update({ entryOf("a") }, sent, clock_.now());
+    updateAsOf({ entryOf("a") }, sent);
     clock_.advance(ReregistrationGrace - milliseconds(550));
     directory_.expire(clock_.now());
     EXPECT_TRUE(has("b"));
@@ -157,7 +162,7 @@
     const TimePoint early = clock_.now();
     clock_.advance(seconds(1));
     update({ entryOf("a", true) });
-    EXPECT_TRUE(directory_.update({ entryOf("a") }, early, clock_.now()).empty());
+    EXPECT_TRUE(updateAsOf({ entryOf("a") }, early).empty());
     EXPECT_TRUE(directory_.entries().find(UpstreamName("a"))->leaving);
 }
 
@@ -170,5 +175,128 @@
     EXPECT_EQ(update({ entry }).restarted.size(), 1U);
 }
 
+/** The store comes back from a copy. */
+class RestoredDirectoryTest : public UpstreamDirectoryTest
+{
+protected:
+    RestoredDirectoryTest() { state_ = { 1, 100 }; }
+
+    static UpstreamEntry rowOf(const std::string &name, std::uint64_t version, bool leaving = false)
+    {
+        UpstreamEntry entry = entryOf(name, leaving);
+        entry.rowVersion = version;
+        entry.incarnation = 5;
+        return entry;
+    }
+
+    /** The store comes back from a copy with this newest version. */
+    void restore(std::uint64_t version) { state_ = { state_.era + 1, version }; }
+
+    bool isLeaving(const std::string &name) const { return directory_.entries().find(UpstreamName(name))->leaving; }
+};
+
+TEST_F(RestoredDirectoryTest, LostEntryIsRetainedForGracePeriodAfterEachRestoration)
+{
+    update({ rowOf("a", 50), rowOf("b", 99) });
+    for (int restoration = 0; restoration < 2; ++restoration) {
+        restore(60);
+        EXPECT_TRUE(update({ rowOf("a", 50) }).empty());
+        clock_.advance(seconds(2));
+        EXPECT_TRUE(update({ rowOf("a", 50) }).empty());
+        EXPECT_TRUE(has("b"));
+    }
+    clock_.advance(milliseconds(200));
+    EXPECT_EQ(update({ rowOf("a", 50) }).removed.size(), 1U);
+}
+
+TEST_F(RestoredDirectoryTest, RestoredEntryDoesNotUndoLeaving)
+{
+    update({ rowOf("a", 50) });
+    update({ rowOf("a", 80, true) });
+    restore(60);
+    for (int second = 0; second < 15; ++second) {
+        update({ rowOf("a", 50) });
+        EXPECT_TRUE(isLeaving("a"));
+        clock_.advance(seconds(1));
+    }
+    update({ rowOf("a", 61) });
+    EXPECT_FALSE(isLeaving("a")) << "it has written so since";
+}
+
+TEST_F(RestoredDirectoryTest, RestoredEntryOfAGoneUpstreamDoesNotReturnUnlessItIsRenewed)
+{
+    update({ rowOf("a", 50), rowOf("b", 51) });
+    state_.version = 110;
+    update({ rowOf("a", 50) });
+    restore(60);
+    update({ rowOf("a", 50), rowOf("b", 51) });
+    EXPECT_FALSE(has("b"));
+    clock_.advance(seconds(2));
+    restore(60);
+    update({ rowOf("a", 50), rowOf("b", 51) });
+    EXPECT_FALSE(has("b"));
+    state_.version = 61;
+    update({ rowOf("a", 50), rowOf("b", 61) });
+    EXPECT_TRUE(has("b"));
+}
+
+TEST_F(RestoredDirectoryTest, RestoredEntryThatDoesNotLapseBelongsToALivingUpstream)
+{
+    update({ rowOf("a", 50) });
+    update({});
+    restore(60);
+    update({ rowOf("a", 50) });
+    EXPECT_FALSE(has("a"));
+    clock_.advance(RestoredEntryLifetime);
+    update({ rowOf("a", 50) });
+    EXPECT_TRUE(has("a"));
+}
+
+TEST_F(RestoredDirectoryTest, RestoredEntryDoesNotUndoARestart)
+{
+    update({ rowOf("a", 50) });
+    UpstreamEntry restarted = rowOf("a", 80);
+    restarted.incarnation = 6;
+    update({ restarted });
+    restore(60);
+    EXPECT_TRUE(update({ rowOf("a", 50) }).empty());
+    EXPECT_EQ(directory_.entries().find(UpstreamName("a"))->incarnation, 6U);
+}
+
+TEST_F(RestoredDirectoryTest, LeavingAndRestartsWrittenBeforeTheFirstReadCount)
+{
+    update({ rowOf("a", 99), rowOf("b", 99) });
+    restore(60);
+    state_.version = 64;
+    UpstreamEntry restarted = rowOf("b", 64);
+    restarted.incarnation = 6;
+    const DirectoryChanges changes = update({ rowOf("a", 63, true), restarted });
+    EXPECT_EQ(changes.leaving.size(), 1U);
+    EXPECT_EQ(changes.restarted.size(), 1U);
+}
+
+TEST_F(RestoredDirectoryTest, AddressOfAGoneUpstreamStaysWithItsSuccessor)
+{
+    UpstreamEntry successor = rowOf("b", 90);
+    successor.address = rowOf("a", 50).address;
+    update({ rowOf("a", 50) });
+    update({ successor });
+    restore(60);
+    EXPECT_TRUE(update({ rowOf("a", 50) }).empty());
+    EXPECT_TRUE(has("b"));
+    EXPECT_FALSE(has("a"));
+}
+
+TEST_F(RestoredDirectoryTest, ListOfAnEarlierEraIsIgnored)
+{
+    const StoreState before = state_;
+    update({ rowOf("a", 50) });
+    restore(60);
+    update({ rowOf("a", 50), rowOf("c", 55) });
+    clock_.advance(seconds(1));
+    state_ = before;
+    EXPECT_TRUE(update({ rowOf("a", 50), rowOf("d", 70) }).empty());
+}
+
 } // namespace
 } // namespace GeraniumLever
