Write a node's entry again that a restored store has lost

Seen by callers: nothing yet. With a store that comes back from a copy, nodes whose entries it had lost were unknown to all others from then on: they got no reports, and the others divided the retry budget among fewer nodes than there were.

Cause: a node wrote its entry once, when it started, and each list of nodes replaced the one before.

Change: NodeRegistry knows the era in which the store confirmed the entry, and asks for it to be written in each later one. Lists of a store that may lack rows only add nodes, and the list is read again afterwards. A node that started after the restoration learns from a report that its list may be short, and counts at least 100 nodes in its share until it has another.

--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds RegistrationRetryDelay(1);
 /** Time between the node's registration and its first read, so that nodes that start together find each other. */
 constexpr std::chrono::milliseconds InitialReadDelay(900);
 /** The list changes only when nodes start or stop, and a new node is noticed earlier by its reports. */
@@ -37,14 +36,13 @@
                            PlatformStore &store,
                            const Clock &clock,
                            RelaySystem &system,
-                           PeerMessageObserver &observer)
+                           PeerExchangeObserver &observer)
     : self_(std::move(self))
     , store_(store)
     , clock_(clock)
     , system_(system)
     , observer_(observer)
     , link_(context, [this](const std::string &from, const PeerDatagram &message) { handleDatagram(from, message); })
-    , registrationTimer_(context)
     , readTimer_(context)
     , reportTimer_(context)
     , workTimer_(context)
@@ -60,7 +58,6 @@
     if (!succeeded(started)) {
         return started;
     }
-    registerNode();
     scheduleRead(InitialReadDelay);
     sendReports();
     sendWorkReports();
@@ -70,11 +67,10 @@
 void PeerExchange::stop()
 {
     stopped_ = true;
-    registrationTimer_.cancel();
     readTimer_.cancel();
     reportTimer_.cancel();
     if (!self_.address.empty()) {
-        store_.removeNode(self_.node, [](const Result<Success> &result) {
+        store_.removeNode(self_.node, [](const Result<StoreState> &result) {
             LOG_IF(WARNING, !succeeded(result)) << "event=node_entry_kept message=\"" << errorOf(result).message << '"';
         });
     }
@@ -87,24 +83,33 @@
 
 void PeerExchange::registerNode()
 {
-    store_.writeNode(self_, [this](const Result<Success> &result) {
-        if (succeeded(result) || stopped_) {
+    registering_ = true;
+    store_.writeNode(self_, [this](const Result<StoreState> &result) {
+        registering_ = false;
+        if (succeeded(result)) {
+            system_.nodeRegistered(valueOf(result));
             return;
         }
-        LOG(WARNING) << "event=node_entry_failed message=\"" << errorOf(result).message << '"';
-        registrationTimer_.expires_after(RegistrationRetryDelay);
-        registrationTimer_.async_wait([this](const boost::system::error_code &cancelled) {
-            if (!cancelled && !stopped_) {
-                registerNode();
-            }
-        });
+        LOG_IF(WARNING, !stopped_) << "event=node_entry_failed message=\"" << errorOf(result).message << '"';
     });
 }
 
+void PeerExchange::renewRegistration()
+{
+    if (system_.needsRegistration() && !registering_) {
+        registerNode();
+    }
+    const bool readRecently = std::chrono::steady_clock::now() - lastRead_ <= MinNodeListReadInterval;
+    if (system_.needsNodes(clock_.now()) && !readRecently) {
+        readNodes();
+    }
+}
+
 void PeerExchange::readNodes()
 {
     lastRead_ = std::chrono::steady_clock::now();
-    store_.readNodes([this](const Result<StoredNodes> &result) {
+    const TimePoint asOf = clock_.now();
+    store_.readNodes([this, asOf](const Result<StoredNodes> &result) {
         if (stopped_) {
             return;
         }
@@ -113,7 +118,7 @@
             return;
         }
         const std::optional<std::size_t> previousCount = system_.peers().nodeCount();
-        system_.updateNodes(valueOf(result));
+        observer_.nodesRead(valueOf(result), asOf);
         if (previousCount != system_.peers().nodeCount()) {
             LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).nodes.size()
                       << " targets=" << system_.peers().targets().size();
@@ -134,6 +139,7 @@
 
 void PeerExchange::sendReports()
 {
+    renewRegistration();
     for (const PeerNode &peer : system_.peers().targets()) {
         link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
     }
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -9,11 +9,12 @@
 
 namespace GeraniumLever {
 
-/** Receives the messages that may lead to commands. */
-class PeerMessageObserver
+/** Receives what may lead to commands. */
+class PeerExchangeObserver
 {
 public:
-    virtual ~PeerMessageObserver() = default;
+    virtual ~PeerExchangeObserver() = default;
+    virtual void nodesRead(const StoredNodes &nodes, TimePoint asOf) = 0;
     virtual void peerReportReceived(const PeerReport &report) = 0;
     virtual void streamReplyReceived(const StreamReply &reply) = 0;
 };
@@ -28,7 +29,7 @@
                  PlatformStore &store,
                  const Clock &clock,
                  RelaySystem &system,
-                 PeerMessageObserver &observer);
+                 PeerExchangeObserver &observer);
 
     /** Does nothing if the node has no peer address. */
     Result<Success> start();
@@ -40,6 +41,8 @@
 
 private:
     void registerNode();
+    /** Writes the node's entry and reads the others if the store may have lost some. */
+    void renewRegistration();
     void readNodes();
     void scheduleRead(std::chrono::steady_clock::duration delay);
     void sendReports();
@@ -56,9 +59,8 @@
     PlatformStore &store_;
     const Clock &clock_;
     RelaySystem &system_;
-    PeerMessageObserver &observer_;
+    PeerExchangeObserver &observer_;
     PeerLink link_;
-    boost::asio::steady_timer registrationTimer_;
     boost::asio::steady_timer readTimer_;
     boost::asio::steady_timer reportTimer_;
     boost::asio::steady_timer workTimer_;
@@ -66,6 +68,7 @@
     /** Node that received the last work reports; used for logging only. */
     NodeName collector_;
     std::chrono::steady_clock::time_point lastRead_;
+    bool registering_ = false;
     bool stopped_ = false;
 };
 
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-struct RelayNode::State : RelayCallerObserver, RelayExchangeObserver, StorePollObserver, PeerMessageObserver
+struct RelayNode::State : RelayCallerObserver, RelayExchangeObserver, StorePollObserver, PeerExchangeObserver
 {
     /** State of a request that the relay logic does not hold. */
     struct OpenCall
@@ -206,7 +206,12 @@
         LOG(INFO) << "event=store_regained";
     }
 
-    // PeerMessageObserver
+    // PeerExchangeObserver
+
+    void nodesRead(const StoredNodes &nodes, TimePoint asOf) override
+    {
+        perform([&](RelayCommands &commands) { system.updateNodes(nodes, asOf, clock.now(), commands); });
+    }
 
     void peerReportReceived(const PeerReport &report) override
     {
--- /dev/null
+++ b/servers/relay/node_registry.cpp
@@ -0,0 +1,50 @@
+#include "servers/relay/node_registry.h"
+
+#include <algorithm>
+
+namespace GeraniumLever {
+
+bool NodeRegistry::update(const StoredNodes &stored, const StoreEras &eras, TimePoint asOf)
+{
+    if (eras.isOutdated(stored.state)) {
+        return false;
+    }
+    std::vector<PeerNode> nodes = stored.nodes;
+    if (eras.mayLackRows(asOf)) {
+        for (const PeerNode &known : nodes_) {
+            const bool isListed = std::any_of(
+                nodes.begin(), nodes.end(), [&known](const PeerNode &listed) { return listed.node == known.node; });
+            if (!isListed) {
+                nodes.push_back(known);
+            }
+        }
+    }
+    isComplete_ = isComplete_ || !eras.mayLackRows(asOf);
+    nodes_ = std::move(nodes);
+    listAsOf_ = asOf;
+    listEra_ = stored.state.era;
+    return true;
+}
+
+bool NodeRegistry::needsList(const StoreEras &eras, TimePoint now) const
+{
+    const bool isOutdated = listAsOf_.has_value() && (listEra_ < eras.era() || eras.mayLackRows(*listAsOf_));
+    return isOutdated && !eras.mayLackRows(now);
+}
+
+std::optional<std::size_t> NodeRegistry::sharingNodes() const
+{
+    if (!listAsOf_.has_value()) {
+        return std::nullopt;
+    }
+    return isComplete_ ? nodes_.size() : std::max(nodes_.size(), MinSharingNodes);
+}
+
+void NodeRegistry::withdrawCompleteness(TimePoint since)
+{
+    if (listAsOf_.has_value() && *listAsOf_ >= since) {
+        isComplete_ = false;
+    }
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/node_registry.h
@@ -0,0 +1,51 @@
+/** The relays' registration in the store. */
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "servers/relay/peer_view.h"
+
+namespace GeraniumLever {
+
+/** Knows the registered relays, and whether this node's own entry must be written. A store that was restored from a
+ * copy lacks the latest entries until their nodes write them again, so lists that it returns until then only add nodes.
+ */
+class NodeRegistry
+{
+public:
+    /** Applies a list that was read at some time not before asOf; returns false if it is of an earlier era. eras: must
+     *  know of the list's state. */
+    bool update(const StoredNodes &stored, const StoreEras &eras, TimePoint asOf);
+
+    const std::vector<PeerNode> &nodes() const { return nodes_; }
+
+    /** True if the last list may have lacked nodes that a list read now would contain. */
+    bool needsList(const StoreEras &eras, TimePoint now) const;
+
+    /** Number of nodes among which to divide what all nodes share; at least MinSharingNodes if no list is known to have
+     *  been complete, so that nothing is granted twice. Absent before the first list. */
+    std::optional<std::size_t> sharingNodes() const;
+
+    /** Records that lists read at this time or later may have lacked nodes. */
+    void withdrawCompleteness(TimePoint since);
+
+    /** Records that the store confirmed this node's entry. */
+    void noteRegistered(const StoreState &state) { registeredEra_ = state.era; }
+
+    /** True if the store does not have this node's entry, or has lost it. */
+    bool needsRegistration(const StoreEras &eras) const { return registeredEra_ < eras.era() || !registeredEra_; }
+
+    static constexpr std::size_t MinSharingNodes = 100;
+
+private:
+    std::vector<PeerNode> nodes_;
+    /** When the read that returned the newest list was sent; absent before the first list. */
+    std::optional<TimePoint> listAsOf_;
+    std::uint64_t listEra_ = 0;
+    /** True if a complete list is contained in the known nodes. */
+    bool isComplete_ = false;
+    std::optional<std::uint64_t> registeredEra_;
+};
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -116,14 +116,23 @@
     }
 }
 
-void RelaySystem::updateNodes(const StoredNodes &stored)
+void RelaySystem::updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
-    const std::vector<PeerNode> &nodes = stored.nodes;
+    noteStoreState(stored.state, now, commands);
+    if (!nodeRegistry_.update(stored, storeEras_, asOf)) {
+        return;
+    }
+    const std::vector<PeerNode> &nodes = nodeRegistry_.nodes();
     peers_.updateNodes(nodes);
     workExchange_.updateNodes(nodes);
     origins_.updateNodes(nodes);
+    divideBudgets();
+}
+
+void RelaySystem::divideBudgets()
+{
     for (auto &[pool, budget] : budgets_) {
-        budget.setNodes(peers_.nodeCount());
+        budget.setNodes(nodeRegistry_.sharingNodes());
     }
 }
 
@@ -136,6 +145,8 @@
         commands.emplace_back(recordStoreEra(storeEras_, now));
         // What this node read of the era was taken for the newest state, although lost rows may have been missing.
         configuration_.withdrawConfirmations(*storeEras_.since());
+        nodeRegistry_.withdrawCompleteness(*storeEras_.since());
+        divideBudgets();
     }
     if (report.sentAfter == TimePoint() || report.sentAfter > now) {
         return;
@@ -753,7 +764,7 @@
 {
     const auto [budget, isNew] = budgets_.try_emplace(pool, settings_.retryAllowance);
     if (isNew) {
-        budget->second.setNodes(peers_.nodeCount());
+        budget->second.setNodes(nodeRegistry_.sharingNodes());
     }
     return budget->second;
 }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "servers/relay/node_registry.h"
 #include "servers/relay/relay_admission.h"
 #include "servers/relay/relay_placement.h"
 #include "servers/relay/relay_queue.h"
@@ -43,8 +44,17 @@
 
     void registryReadFailed() { directory_.readFailed(); }
 
-    /** Replaces the list of relays. */
-    void updateNodes(const StoredNodes &stored);
+    /** Applies the complete list of registered relays, which was current at some time not before asOf. */
+    void updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
+
+    /** Records that the store confirmed this node's entry. */
+    void nodeRegistered(const StoreState &state) { nodeRegistry_.noteRegistered(state); }
+
+    /** True if this node's entry must be written to the store. */
+    bool needsRegistration() const { return nodeRegistry_.needsRegistration(storeEras_); }
+
+    /** True if the list of relays should be read again now. */
+    bool needsNodes(TimePoint now) const { return nodeRegistry_.needsList(storeEras_, now); }
 
     /** Handles the report of another relay. */
     void peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands);
@@ -108,6 +118,8 @@
     /** Records which state of the store an answer shows. */
     void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
+    /** Divides the retry budgets among the known nodes. */
+    void divideBudgets();
     RelayRow *rowOf(const AttemptId &attempt);
     /** Finds out which version began the stream that the request takes up. */
     void locateStream(RelayRow &row, TimePoint now, RelayCommands &commands);
@@ -153,6 +165,7 @@
     ConfigurationTracker configuration_;
     UpstreamDirectory directory_;
     UpstreamNotices notices_;
+    NodeRegistry nodeRegistry_;
     PeerView peers_;
     WorkExchange workExchange_;
     RelayPlacement placement_;
--- a/tests/main/relay/relay_restoration_test.cpp
+++ b/tests/main/relay/relay_restoration_test.cpp
@@ -1,3 +1,4 @@
+#include "tests/drivers/http/raw_listener.h"
 #include "tests/main/relay/relay_node_fixture.h"
 
 namespace GeraniumLever {
@@ -148,5 +149,19 @@
     EXPECT_EQ(serverOf("/once/1"), "p2");
 }
 
+TEST_F(RelayRestorationTest, NodeWritesItsOwnLostEntryAgain)
+{
+    addServer("p1", "plain");
+    store_.copy();
+    settings_.peerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
+    startNode();
+    ASSERT_TRUE(runUntil([&]() { return store_.has("relays", settings_.node.text()); }));
+    for (int restoration = 0; restoration < 2; ++restoration) {
+        store_.restore();
+        EXPECT_FALSE(store_.has("relays", settings_.node.text()));
+        EXPECT_TRUE(runUntil([&]() { return store_.has("relays", settings_.node.text()); }));
+    }
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/fleet_load_test.cpp
+++ b/tests/servers/relay/fleet_load_test.cpp
@@ -74,7 +74,7 @@
         }
         RelayCommands ignored;
         for (const std::unique_ptr<RelaySystem> &node : nodes_) {
-            node->updateNodes({ peers, {} });
+            node->updateNodes({ peers, {} }, clock_.now(), clock_.now(), ignored);
             const SiteConfigurationPtr shared = std::make_shared<const SiteConfiguration>(configuration);
             node->applyConfiguration({ shared, 0, {} }, clock_.now(), clock_.now(), ignored);
             node->updateUpstreams({ upstreams, {} }, clock_.now(), clock_.now(), ignored);
--- /dev/null
+++ b/tests/servers/relay/node_registry_test.cpp
@@ -0,0 +1,101 @@
+#include "servers/relay/node_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace GeraniumLever {
+namespace {
+
+using std::chrono::seconds;
+
+class NodeRegistryTest : public testing::Test
+{
+protected:
+    bool update(int nodes)
+    {
+        StoredNodes stored { {}, state_ };
+        for (int number = 0; number < nodes; ++number) {
+            stored.nodes.push_back({ NodeName("n" + std::to_string(number)), DataCenterName("dc"), "127.0.0.1:1" });
+        }
+        eras_.note(state_, clock_.now());
+        return registry_.update(stored, eras_, clock_.now());
+    }
+
+    SteppedClock clock_;
+    StoreState state_ { 1, 10 };
+    StoreEras eras_;
+    NodeRegistry registry_;
+};
+
+TEST_F(NodeRegistryTest, ListOfARestoredStoreTakesNoNodeAwayUntilLostEntriesHaveHadTimeToReturn)
+{
+    update(9);
+    clock_.advance(seconds(5));
+    update(9);
+    EXPECT_EQ(registry_.sharingNodes(), 9U);
+    for (int restoration = 0; restoration < 2; ++restoration) {
+        ++state_.era;
+        clock_.advance(seconds(2));
+        update(4);
+        EXPECT_EQ(registry_.nodes().size(), 9U);
+        EXPECT_GE(*registry_.sharingNodes(), 9U) << "nothing is granted twice";
+    }
+    clock_.advance(seconds(3));
+    EXPECT_TRUE(registry_.needsList(eras_, clock_.now()));
+    update(8);
+    EXPECT_FALSE(registry_.needsList(eras_, clock_.now()));
+    EXPECT_EQ(registry_.sharingNodes(), 8U);
+}
+
+TEST_F(NodeRegistryTest, NodeThatStartsAfterARestorationTakesNoShortListForTheFleet)
+{
+    EXPECT_EQ(registry_.sharingNodes(), std::nullopt);
+    state_ = { 2, 10 };
+    update(2);
+    EXPECT_EQ(registry_.sharingNodes(), 2U);
+    EXPECT_TRUE(eras_.note(StoreEraReport { 2, seconds(1), 10 }, clock_.now()));
+    registry_.withdrawCompleteness(*eras_.since());
+    EXPECT_EQ(registry_.sharingNodes(), NodeRegistry::MinSharingNodes);
+    update(300);
+    EXPECT_EQ(registry_.sharingNodes(), 300U);
+    EXPECT_FALSE(registry_.needsList(eras_, clock_.now()));
+    clock_.advance(seconds(2));
+    EXPECT_TRUE(registry_.needsList(eras_, clock_.now()));
+    update(9);
+    EXPECT_EQ(registry_.sharingNodes(), 9U);
+    EXPECT_FALSE(registry_.needsList(eras_, clock_.now()));
+}
+
+TEST_F(NodeRegistryTest, ListOfAnEarlierEraIsIgnored)
+{
+    update(9);
+    const StoreState before = state_;
+    state_ = { 2, 5 };
+    EXPECT_TRUE(update(9));
+    state_ = before;
+    EXPECT_FALSE(update(12));
+    EXPECT_EQ(registry_.nodes().size(), 9U);
+}
+
+TEST_F(NodeRegistryTest, OwnEntryIsWrittenAgainInEachEra)
+{
+    eras_.note(state_, clock_.now());
+    EXPECT_TRUE(registry_.needsRegistration(eras_));
+    registry_.noteRegistered(state_);
+    EXPECT_FALSE(registry_.needsRegistration(eras_));
+    eras_.note(StoreState { 3, 5 }, clock_.now());
+    EXPECT_TRUE(registry_.needsRegistration(eras_));
+    registry_.noteRegistered({ 2, 30 });
+    EXPECT_TRUE(registry_.needsRegistration(eras_)) << "the confirmation was late, and the entry is lost";
+    registry_.noteRegistered({ 3, 6 });
+    EXPECT_FALSE(registry_.needsRegistration(eras_));
+}
+
+TEST_F(NodeRegistryTest, StoreWithoutErasNeedsOneRegistration)
+{
+    EXPECT_TRUE(registry_.needsRegistration(eras_));
+    registry_.noteRegistered({ 0, 7 });
+    EXPECT_FALSE(registry_.needsRegistration(eras_));
+}
+
+} // namespace
+} // namespace GeraniumLever
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -91,7 +91,7 @@
     for (int number = 0; number < Nodes; ++number) {
         nodes.push_back({ NodeName("node-" + std::to_string(number)), DataCenterName("dc"), "127.0.0.1:1" });
     }
-    system_.updateNodes({ nodes, storeState_ });
+    system_.updateNodes({ nodes, storeState_ }, clock_.now(), clock_.now(), commands_);
     readStore();
 }
 
