Let the soak restore the store, and servers leave and pause

Cause: the soak drew none of what the platform's new contracts allow.

Change: three more faults: a store that is away and comes back from a copy, with the operator's writes up to a second later; a server that states that it leaves; one that turns requests away for one to two seconds. Servers renew their entries as real ones do. Two more checks, from what callers and servers see: no request that was sent 0.1 s after a node passed on that a server leaves reaches that server from that node, and no more than two reach a server from a node between 0.5 s after it asked for a pause and the pause's end.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -174,7 +174,7 @@
 void ServerStandIn::handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
 {
     const std::string requestId(request["Request-Id"]);
-    arrivals_.push_back({ requestId, std::chrono::steady_clock::now() });
+    arrivals_.push_back({ requestId, std::chrono::steady_clock::now(), incarnation_, "" });
     const std::string expected(request["Expect-Instance"]);
     if (!expected.empty() && expected != settings_.id) {
         session->send(head(421, requestId, "Content-Length: 0\r\n\r\n"));
@@ -195,6 +195,7 @@
                              const std::string &pause,
                              bool leaving)
 {
+    arrivals_.back().pause = pause;
     const std::string retryAfter = pause.empty() ? "" : "Retry-After: " + pause + "\r\n";
     session->send(head(503, requestId, "Not-Executed: 1\r\n" + retryAfter + "Content-Length: 0\r\n\r\n", leaving));
     session->finish();
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -38,6 +38,10 @@
 {
     std::string requestId;
     std::chrono::steady_clock::time_point at;
+    /** Counts the server's starts, from 1. */
+    std::uint64_t incarnation = 1;
+    /** The time with which the request was turned away; empty if it was not, or without one. */
+    std::string pause;
 };
 
 /** What all servers have run, by the request's identifier. */
--- a/tests/system/relay_soak_test.cpp
+++ b/tests/system/relay_soak_test.cpp
@@ -21,6 +21,30 @@
 /** Exceeds every deadline and time-out of the calls. */
 constexpr milliseconds CallLimit(6000);
 constexpr milliseconds KeyLifetime(1500);
+/** A request that a caller sends so long after a node has passed on that a server leaves must not reach that server. */
+constexpr milliseconds LeavingLimit(100);
+/** Requests that may reach a server from one node between PauseSlack after it asked for a pause and the pause's end. */
+constexpr int MaxPausedArrivals = 2;
+constexpr milliseconds PauseSlack(500);
+constexpr milliseconds HeartbeatPeriod(400);
+
+/** One life of a node's process. */
+struct NodeLife
+{
+    std::size_t node = 0;
+    int starts = 0;
+
+    auto operator<=>(const NodeLife &) const = default;
+};
+
+/** A node has passed on that a server leaves. */
+struct LeavingSeen
+{
+    NodeLife node;
+    std::size_t server = 0;
+    std::uint64_t incarnation = 0;
+    SteadyTime at;
+};
 
 struct SoakCall
 {
@@ -31,8 +55,10 @@
     /** The caller disconnects during the response. */
     bool disconnectsEarly = false;
     SteadyTime sentAt;
+    NodeLife node;
     std::shared_ptr<RawConnection> connection;
     unsigned status = 0;
+    bool leavingSeen = false;
     bool finished = false;
 };
 
@@ -50,18 +76,26 @@
         }
         const SteadyTime end = std::chrono::steady_clock::now() + RunTime;
         SteadyTime nextFault = std::chrono::steady_clock::now() + milliseconds(300);
+        SteadyTime nextHeartbeat = std::chrono::steady_clock::now();
+        store_.copy();
         while (std::chrono::steady_clock::now() < end) {
             startCall();
             if (std::chrono::steady_clock::now() >= nextFault) {
                 startFault();
                 nextFault += milliseconds(200 + random_->below(500));
             }
+            if (std::chrono::steady_clock::now() >= nextHeartbeat) {
+                sendHeartbeats();
+                nextHeartbeat += HeartbeatPeriod;
+            }
             runFor(milliseconds(5 + random_->below(15)));
             endFaults(std::chrono::steady_clock::now());
             checkOpenCalls();
         }
         recover();
         checkLedger();
+        checkLeaving();
+        checkPauses();
     }
 
     void startCall()
@@ -91,7 +125,9 @@
             text.replace(text.find("key-one"), 7, "key-two");
         }
         try {
-            call.connection = connectTo(processes_[random_->below(Nodes)].callerAddress);
+            call.node.node = random_->below(Nodes);
+            call.node.starts = starts_[call.node.node];
+            call.connection = connectTo(processes_[call.node.node].callerAddress);
         } catch (const std::exception &) {
             return; // The node is down.
         }
@@ -102,33 +138,47 @@
 
     void startFault()
     {
-        RelayProcess &process = processes_[random_->below(Nodes)];
+        const std::size_t node = random_->below(Nodes);
+        const std::size_t server = random_->below(servers_.size());
+        RelayProcess &process = processes_[node];
         const SteadyTime until = std::chrono::steady_clock::now() + milliseconds(200 + random_->below(1000));
         constexpr StoreFault StoreFaults[] = { StoreFault::Busy,   StoreFault::Many,        StoreFault::Reset,
                                                StoreFault::Silent, StoreFault::LoseAnswers, StoreFault::Slow };
-        switch (random_->below(6)) {
+        switch (random_->below(9)) {
         case 0:
             process.child->signal(SIGSTOP);
             faultEnds_.emplace(until, [&process]() { process.child->signal(SIGCONT); });
             break;
         case 1:
             process.child->kill();
-            faultEnds_.emplace(until, [this, &process]() { launch(process); });
+            faultEnds_.emplace(until, [this, node]() { relaunch(node); });
             break;
         case 2:
             process.child->signal(SIGTERM);
-            faultEnds_.emplace(until + milliseconds(5200), [this, &process]() { relaunchIfEnded(process); });
+            faultEnds_.emplace(until + milliseconds(5200), [this, node]() { relaunchIfEnded(node); });
             break;
         case 3:
             store_.setFault(StoreFaults[random_->below(std::size(StoreFaults))]);
             faultEnds_.emplace(until, [this]() { store_.setFault(StoreFault::None); });
             break;
-        case 4: {
-            const std::size_t index = random_->below(servers_.size());
-            registerServer(*servers_[index], names_[index], "draining");
-            faultEnds_.emplace(until, [this, index]() { registerServer(*servers_[index], names_[index]); });
+        case 4:
+            setServerState(server, "draining");
+            faultEnds_.emplace(until, [this, server]() { setServerState(server, "ready"); });
+            break;
+        case 5:
+            servers_[server]->leave();
+            faultEnds_.emplace(until, [this, server]() {
+                servers_[server]->startAgain();
+                setServerState(server, "ready");
+            });
+            break;
+        case 6:
+            servers_[server]->pause(std::to_string(1.0 + random_->fraction()));
+            faultEnds_.emplace(until, [this, server]() { servers_[server]->pause(""); });
+            break;
+        case 7:
+            loseStore(until);
             break;
-        }
         default:
             if (revokedAt_ == SteadyTime()) {
                 keys_ = "\"key-one\"";
@@ -140,10 +190,43 @@
         }
     }
 
-    void relaunchIfEnded(RelayProcess &process)
+    /** The store is away for a while and comes back from a copy; what it has lost is written again later. */
+    void loseStore(SteadyTime until)
+    {
+        store_.setFault(StoreFault::Reset);
+        faultEnds_.emplace(until, [this]() {
+            store_.restore();
+            store_.setFault(StoreFault::None);
+        });
+        faultEnds_.emplace(until + milliseconds(random_->below(1000)), [this]() { writeConfiguration(); });
+    }
+
+    void setServerState(std::size_t server, const std::string &state)
+    {
+        serverStates_[server] = state;
+        registerServer(*servers_[server], names_[server], state);
+    }
+
+    void sendHeartbeats()
+    {
+        for (std::size_t server = 0; server < servers_.size(); ++server) {
+            setServerState(server, serverStates_[server]);
+        }
+        if (random_->below(3) == 0) {
+            store_.copy();
+        }
+    }
+
+    void relaunch(std::size_t node)
     {
-        if (process.child->exitCode().has_value()) {
-            launch(process);
+        ++starts_[node];
+        launch(processes_[node]);
+    }
+
+    void relaunchIfEnded(std::size_t node)
+    {
+        if (processes_[node].child->exitCode().has_value()) {
+            relaunch(node);
         }
     }
 
@@ -175,6 +258,7 @@
     {
         std::string bytes = call.connection->received();
         const ReceivedResponse answer = takeResponse(bytes);
+        noteLeaving(call, answer);
         if (call.disconnectsEarly && !bytes.empty()) {
             call.connection->close();
             call.finished = true;
@@ -196,6 +280,22 @@
         EXPECT_TRUE(answer.status != 401 || (call.withRevocableKey && revokedAt_ != SteadyTime())) << call.id;
     }
 
+    void noteLeaving(SoakCall &call, const ReceivedResponse &answer)
+    {
+        if (call.leavingSeen || answer.head.find("Server-Leaving: 1\r\n") == std::string::npos) {
+            return;
+        }
+        call.leavingSeen = true;
+        for (std::size_t index = 0; index < servers_.size(); ++index) {
+            const bool answered = answer.head.find("Instance-Id: " + names_[index] + "\r\n") != std::string::npos;
+            for (const ServerArrival &arrival : servers_[index]->arrivals()) {
+                if (answered && arrival.requestId == call.id) {
+                    leavingSeen_.push_back({ call.node, index, arrival.incarnation, std::chrono::steady_clock::now() });
+                }
+            }
+        }
+    }
+
     /** Ends all faults. Every node must become ready and serve again, and every call must end. */
     void recover()
     {
@@ -203,9 +303,10 @@
             endFaults(faultEnds_.begin()->first);
         }
         store_.setFault(StoreFault::None);
-        for (RelayProcess &process : processes_) {
+        for (std::size_t node = 0; node < Nodes; ++node) {
+            RelayProcess &process = processes_[node];
             EXPECT_TRUE(runUntil([&]() {
-                relaunchIfEnded(process);
+                relaunchIfEnded(node);
                 return statusOf(process, "/readyz") == 200
                     && sendRequestToProcess(
                            process, request("again-" + std::to_string(++recoveryRequests_), "GET", "/read/again"))
@@ -242,6 +343,47 @@
         }
     }
 
+    /** The node that the call of an arrival went to; absent for requests that are no calls of the soak. */
+    const SoakCall *callOf(const ServerArrival &arrival) const
+    {
+        const auto found = std::find_if(
+            calls_.begin(), calls_.end(), [&arrival](const SoakCall &call) { return call.id == arrival.requestId; });
+        return found == calls_.end() ? nullptr : &*found;
+    }
+
+    void checkLeaving() const
+    {
+        for (const LeavingSeen &seen : leavingSeen_) {
+            for (const ServerArrival &arrival : servers_[seen.server]->arrivals()) {
+                const SoakCall *call = callOf(arrival);
+                if (call != nullptr && call->node == seen.node && arrival.incarnation == seen.incarnation) {
+                    EXPECT_LE(call->sentAt, seen.at + LeavingLimit) << call->id << " reached " << names_[seen.server];
+                }
+            }
+        }
+    }
+
+    void checkPauses() const
+    {
+        for (const std::unique_ptr<ServerStandIn> &server : servers_) {
+            for (const ServerArrival &refused : server->arrivals()) {
+                const SoakCall *refusedCall = callOf(refused);
+                if (refused.pause.empty() || refusedCall == nullptr) {
+                    continue;
+                }
+                const milliseconds pause(static_cast<int>(std::stod(refused.pause) * 1000));
+                int arrived = 0;
+                for (const ServerArrival &arrival : server->arrivals()) {
+                    const SoakCall *call = callOf(arrival);
+                    const bool isPaused = arrival.at > refused.at + PauseSlack && arrival.at < refused.at + pause
+                        && arrival.incarnation == refused.incarnation;
+                    arrived += isPaused && call != nullptr && call->node == refusedCall->node ? 1 : 0;
+                }
+                EXPECT_LE(arrived, MaxPausedArrivals) << refused.requestId;
+            }
+        }
+    }
+
     const std::vector<std::string> streamFaults_ {
         "cut=2", "cut=2 hard", "short=2", "unframed", "unframed cut=2", "unframed cut=2 hard", "unframed stop=0",
         "reset", "fail",       "full",    "junk"
@@ -255,6 +397,9 @@
     std::multimap<SteadyTime, std::function<void()>> faultEnds_;
     SteadyTime revokedAt_;
     std::uint64_t recoveryRequests_ = 0;
+    std::vector<std::string> serverStates_ = std::vector<std::string>(names_.size(), "ready");
+    std::vector<int> starts_ = std::vector<int>(Nodes, 1);
+    std::vector<LeavingSeen> leavingSeen_;
 };
 
 std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
@@ -274,7 +419,8 @@
     for (const SoakCall &call : calls_) {
         served += call.status == 200 ? 1 : 0;
     }
-    std::cout << "seed " << GetParam() << ": " << calls_.size() << " calls, " << served << " answered with 200\n";
+    std::cout << "seed " << GetParam() << ": " << calls_.size() << " calls, " << served << " answered with 200, "
+              << leavingSeen_.size() << " by leaving servers\n";
     EXPECT_GT(served, 20);
 }
 
