Move the knowledge of the fleet out of RelaySystem

Cause: relay_system.cpp had grown to 786 lines, a part of which only kept what is read from the store and told by other nodes.

Change: FleetState holds the eras, the configuration, the directory, the notices, the versions, the nodes and the peers' reports, and decides what they mean together; RelaySystem asks it. relay_system.cpp has 738 lines; requests, queues and streams are still in one class. No change of behaviour.

--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -96,11 +96,11 @@
 
 void PeerExchange::renewRegistration()
 {
-    if (system_.needsRegistration() && !registering_) {
+    if (system_.fleet().needsRegistration() && !registering_) {
         registerNode();
     }
     const bool readRecently = std::chrono::steady_clock::now() - lastRead_ <= MinNodeListReadInterval;
-    if (system_.needsNodes(clock_.now()) && !readRecently) {
+    if (system_.fleet().needsNodes(clock_.now()) && !readRecently) {
         readNodes();
     }
 }
@@ -117,11 +117,11 @@
             scheduleRead(MinNodeListReadInterval);
             return;
         }
-        const std::optional<std::size_t> previousCount = system_.peers().nodeCount();
+        const std::optional<std::size_t> previousCount = system_.fleet().peers().nodeCount();
         observer_.nodesRead(valueOf(result), asOf);
-        if (previousCount != system_.peers().nodeCount()) {
+        if (previousCount != system_.fleet().peers().nodeCount()) {
             LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).nodes.size()
-                      << " targets=" << system_.peers().targets().size();
+                      << " targets=" << system_.fleet().peers().targets().size();
         }
         scheduleRead(NodeListReadPeriod);
     });
@@ -140,7 +140,7 @@
 void PeerExchange::sendReports()
 {
     renewRegistration();
-    for (const PeerNode &peer : system_.peers().targets()) {
+    for (const PeerNode &peer : system_.fleet().peers().targets()) {
         link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
     }
     reportTimer_.expires_after(PeerReportPeriod);
@@ -179,7 +179,7 @@
 
 void PeerExchange::handleDatagram(const std::string &from, const PeerDatagram &message)
 {
-    const PeerNode *peer = system_.peers().nodeAt(from);
+    const PeerNode *peer = system_.fleet().peers().nodeAt(from);
     const NodeName &sender = std::visit([](const auto &value) -> const NodeName & { return senderOf(value); }, message);
     if (peer == nullptr || peer->node != sender) {
         if (!stopped_ && std::chrono::steady_clock::now() - lastRead_ > MinNodeListReadInterval) {
--- a/main/relay/relay_metrics.cpp
+++ b/main/relay/relay_metrics.cpp
@@ -55,10 +55,10 @@
 std::string RelayMetrics::render(const RelaySystem &system, TimePoint now, std::uint64_t droppedLogLines)
 {
     registry_.gauge(inFlight).set(static_cast<double>(system.inFlight()));
-    registry_.gauge(version).set(static_cast<double>(system.configuration().version().value()));
-    const std::optional<Duration> age = system.configuration().age(now);
+    registry_.gauge(version).set(static_cast<double>(system.fleet().configuration().version().value()));
+    const std::optional<Duration> age = system.fleet().configuration().age(now);
     registry_.gauge(ageSeconds).set(age.has_value() ? std::chrono::duration<double>(*age).count() : -1.0);
-    registry_.gauge(upstreams).set(static_cast<double>(system.directory().entries().size()));
+    registry_.gauge(upstreams).set(static_cast<double>(system.fleet().directory().entries().size()));
     registry_.gauge(droppedLines).set(static_cast<double>(droppedLogLines));
     return registry_.render();
 }
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -175,11 +175,11 @@
     void configurationRead(const StoredConfiguration &configuration, TimePoint asOf) override
     {
         metrics.recordStoreRead(true);
-        const ConfigurationId before = system.configuration().id();
+        const ConfigurationId before = system.fleet().configuration().id();
         perform(
             [&](RelayCommands &commands) { system.applyConfiguration(configuration, asOf, clock.now(), commands); });
-        if (system.configuration().id() != before) {
-            callerServer.setLimits(system.configuration().table()->configuration().limits);
+        if (system.fleet().configuration().id() != before) {
+            callerServer.setLimits(system.fleet().configuration().table()->configuration().limits);
         }
     }
 
@@ -352,7 +352,7 @@
 
     // Status and shutdown
 
-    bool ready() const { return system.ready() && !stopping; }
+    bool ready() const { return system.fleet().isReady() && !stopping; }
 
     void handleStatusRequest(const OperatorRequest &request, OperatorServer::Responder respond)
     {
--- /dev/null
+++ b/servers/relay/fleet_state.cpp
@@ -0,0 +1,98 @@
+#include "servers/relay/fleet_state.h"
+
+#include <utility>
+
+#include "servers/relay/relay_records.h"
+
+namespace GeraniumLever {
+
+FleetState::FleetState(NodeName self, std::uint64_t incarnation, Duration upstreamHeartbeat)
+    : self_(std::move(self)), incarnation_(incarnation), peers_(self_)
+{
+    directory_.setHeartbeat(upstreamHeartbeat);
+}
+
+void FleetState::noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands)
+{
+    if (storeEras_.note(state, now)) {
+        commands.emplace_back(recordStoreEra(storeEras_, now));
+    }
+}
+
+void FleetState::applyConfiguration(const StoredConfiguration &stored,
+                                    TimePoint asOf,
+                                    TimePoint now,
+                                    RelayCommands &commands)
+{
+    noteStoreState(stored.state, now, commands);
+    directory_.readSucceeded(asOf);
+    const ConfigurationVersion before = configuration_.version();
+    if (configuration_.update(stored, storeEras_, asOf)) {
+        commands.emplace_back(recordConfiguration(stored, before));
+    }
+}
+
+DirectoryChanges FleetState::updateUpstreams(const StoredUpstreams &stored,
+                                             TimePoint asOf,
+                                             TimePoint now,
+                                             RelayCommands &commands)
+{
+    noteStoreState(stored.state, now, commands);
+    DirectoryChanges changes = directory_.update(stored, storeEras_, asOf, now);
+    poolVersions_.update(directory_.entries(), asOf);
+    notices_.update(directory_.entries(), now);
+    return changes;
+}
+
+bool FleetState::updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
+{
+    noteStoreState(stored.state, now, commands);
+    if (!nodes_.update(stored, storeEras_, asOf)) {
+        return false;
+    }
+    peers_.updateNodes(nodes_.nodes());
+    return true;
+}
+
+void FleetState::receive(const PeerReport &report, TimePoint now, RelayCommands &commands)
+{
+    if (!peers_.receive(report, now)) {
+        return;
+    }
+    if (storeEras_.note(report.storeEra, now)) {
+        commands.emplace_back(recordStoreEra(storeEras_, now));
+        // What this node read of the era was taken for the newest state, although lost rows may have been missing.
+        configuration_.withdrawConfirmations(*storeEras_.since());
+        nodes_.withdrawCompleteness(*storeEras_.since());
+    }
+    if (report.sentAfter == TimePoint() || report.sentAfter > now) {
+        return;
+    }
+    // The peer sent the report after sentAfter and knew this by then.
+    configuration_.confirm(report.configuration, storeEras_, report.sentAfter - report.configurationAge);
+}
+
+PeerReport FleetState::reportFor(const NodeName &peer, TimePoint now)
+{
+    PeerReport report;
+    report.node = self_;
+    report.incarnation = incarnation_;
+    report.sequence = ++lastReportSequence_;
+    const std::optional<Duration> age = configuration_.age(now);
+    if (age.has_value()) {
+        report.configuration = configuration_.id();
+        report.configurationAge = *age;
+    }
+    report.storeEra = storeEras_.report(now);
+    report.sentAt = now;
+    report.sentAfter = peers_.lastSentAt(peer);
+    return report;
+}
+
+DirectoryChanges FleetState::expire(TimePoint now)
+{
+    peers_.expire(now);
+    return directory_.expire(now);
+}
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -62,44 +62,27 @@
 
 RelaySystem::RelaySystem(RelaySystemSettings settings)
     : settings_(std::move(settings))
-    , peers_(settings_.node)
+    , fleet_(settings_.node, settings_.origin, settings_.upstreamHeartbeat)
     , workExchange_(settings_.node, settings_.dataCenter, settings_.origin)
-    , placement_(settings_.dataCenter, peers_, notices_, settings_.seed + 2)
+    , placement_(settings_.dataCenter, fleet_.peers(), fleet_.notices(), settings_.seed + 2)
     , origins_(settings_.node, settings_.dataCenter)
     , random_(settings_.seed + 1)
 {
-    directory_.setHeartbeat(settings_.upstreamHeartbeat);
 }
 
 // Configuration and fleet state.
 
-void RelaySystem::noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands)
-{
-    if (storeEras_.note(state, now)) {
-        commands.emplace_back(recordStoreEra(storeEras_, now));
-    }
-}
-
 void RelaySystem::applyConfiguration(const StoredConfiguration &stored,
                                      TimePoint asOf,
                                      TimePoint now,
                                      RelayCommands &commands)
 {
-    noteStoreState(stored.state, now, commands);
-    directory_.readSucceeded(asOf);
-    const ConfigurationVersion before = configuration_.version();
-    if (!configuration_.update(stored, storeEras_, asOf)) {
-        return;
-    }
-    commands.emplace_back(recordConfiguration(stored, before));
+    fleet_.applyConfiguration(stored, asOf, now, commands);
 }
 
 void RelaySystem::updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
-    noteStoreState(stored.state, now, commands);
-    handleDirectoryChanges(directory_.update(stored, storeEras_, asOf, now), commands);
-    poolVersions_.update(directory_.entries(), asOf);
-    notices_.update(directory_.entries(), now);
+    handleDirectoryChanges(fleet_.updateUpstreams(stored, asOf, now, commands), commands);
     for (auto &[queueKey, queue] : queues_) {
         serveQueue(queueKey, now, commands);
     }
@@ -110,7 +93,7 @@
     if (changes.empty()) {
         return;
     }
-    placement_.applyChanges(directory_, changes);
+    placement_.applyChanges(fleet_.directory(), changes);
     for (Decision &decision : recordDirectoryChanges(changes)) {
         commands.emplace_back(std::move(decision));
     }
@@ -118,58 +101,25 @@
 
 void RelaySystem::updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
-    noteStoreState(stored.state, now, commands);
-    if (!nodeRegistry_.update(stored, storeEras_, asOf)) {
+    if (!fleet_.updateNodes(stored, asOf, now, commands)) {
         return;
     }
-    const std::vector<PeerNode> &nodes = nodeRegistry_.nodes();
-    peers_.updateNodes(nodes);
-    workExchange_.updateNodes(nodes);
-    origins_.updateNodes(nodes);
+    workExchange_.updateNodes(fleet_.nodes().nodes());
+    origins_.updateNodes(fleet_.nodes().nodes());
     divideBudgets();
 }
 
 void RelaySystem::divideBudgets()
 {
     for (auto &[pool, budget] : budgets_) {
-        budget.setNodes(nodeRegistry_.sharingNodes());
+        budget.setNodes(fleet_.nodes().sharingNodes());
     }
 }
 
 void RelaySystem::peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands)
 {
-    if (!peers_.receive(report, now)) {
-        return;
-    }
-    if (storeEras_.note(report.storeEra, now)) {
-        commands.emplace_back(recordStoreEra(storeEras_, now));
-        // What this node read of the era was taken for the newest state, although lost rows may have been missing.
-        configuration_.withdrawConfirmations(*storeEras_.since());
-        nodeRegistry_.withdrawCompleteness(*storeEras_.since());
-        divideBudgets();
-    }
-    if (report.sentAfter == TimePoint() || report.sentAfter > now) {
-        return;
-    }
-    // The peer sent the report after sentAfter and knew this by then.
-    configuration_.confirm(report.configuration, storeEras_, report.sentAfter - report.configurationAge);
-}
-
-PeerReport RelaySystem::reportFor(const NodeName &peer, TimePoint now)
-{
-    PeerReport report;
-    report.node = settings_.node;
-    report.incarnation = settings_.origin;
-    report.sequence = ++lastReportSequence_;
-    const std::optional<Duration> age = configuration_.age(now);
-    if (age.has_value()) {
-        report.configuration = configuration_.id();
-        report.configurationAge = *age;
-    }
-    report.storeEra = storeEras_.report(now);
-    report.sentAt = now;
-    report.sentAfter = peers_.lastSentAt(peer);
-    return report;
+    fleet_.receive(report, now, commands);
+    divideBudgets();
 }
 
 std::vector<OutgoingWorkReport> RelaySystem::reportWork(TimePoint now)
@@ -177,7 +127,7 @@
     std::vector<OutgoingWorkReport> messages = workExchange_.report(placement_.ownWork(now), now);
     const std::optional<WorkAccount> others = workExchange_.totalsIfCollector();
     if (others.has_value()) {
-        placement_.updateOthers(directory_, *others, now);
+        placement_.updateOthers(fleet_.directory(), *others, now);
     }
     return messages;
 }
@@ -190,7 +140,7 @@
 void RelaySystem::workTotalsReceived(const WorkTotals &totals, TimePoint now)
 {
     if (workExchange_.receive(totals)) {
-        placement_.updateOthers(directory_, totals.others, now);
+        placement_.updateOthers(fleet_.directory(), totals.others, now);
     }
 }
 
@@ -200,10 +150,10 @@
 {
     Result<RelayRow> admitted = draining_
         ? Result<RelayRow>(Error { ResultCode::NotReady, "the node is shutting down", DrainingRetryAfter })
-        : admitRelayRequest(request, configuration_, settings_.stalenessLimits, random_.fraction(), now);
+        : admitRelayRequest(request, fleet_.configuration(), settings_.stalenessLimits, random_.fraction(), now);
     if (!succeeded(admitted)) {
         const Error &error = errorOf(admitted);
-        commands.emplace_back(recordReject(request, error, configuration_, now));
+        commands.emplace_back(recordReject(request, error, fleet_.configuration(), now));
         requestMetrics_.push_back({ 0, Outcome::NotRun, error.code, std::nullopt, Duration(0), 0 });
         commands.emplace_back(RelayRefusal { request.request, error, Outcome::NotRun });
         return;
@@ -258,7 +208,7 @@
 bool RelaySystem::tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     const PlacementQuery query = placementQueryOf(row);
-    const std::optional<Placement> placement = placement_.choose(directory_, query, now);
+    const std::optional<Placement> placement = placement_.choose(fleet_.directory(), query, now);
     if (!placement.has_value()) {
         return false;
     }
@@ -301,13 +251,13 @@
 
 void RelaySystem::enqueue(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
-    const std::optional<double> utilization = placement_.seatUtilization(directory_, row.pool, now);
+    const std::optional<double> utilization = placement_.seatUtilization(fleet_.directory(), row.pool, now);
     RelayQueue &queue = queues_[row.queueKey];
     if (!utilization.has_value() && !row.firstByte.has_value()) {
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
     }
-    if (row.streamVersion.has_value() && !placement_.hasUpstream(directory_, placementQueryOf(row))) {
+    if (row.streamVersion.has_value() && !placement_.hasUpstream(fleet_.directory(), placementQueryOf(row))) {
         giveUp(row, ResultCode::NoUpstream, now, commands);
         return;
     }
@@ -332,7 +282,7 @@
     row.waitSince = now;
     row.waitUntil = waitUntil;
     queue.push(row.tier, row.team, row.request.request);
-    row.awaitedEngine = placement_.preferredEngine(directory_, placementQueryOf(row), now);
+    row.awaitedEngine = placement_.preferredEngine(fleet_.directory(), placementQueryOf(row), now);
     if (!row.awaitedEngine.empty()) {
         placement_.load(row.awaitedEngine).noteWaiting(true);
     }
@@ -341,7 +291,7 @@
 
 bool RelaySystem::isPausedBeyond(const RelayRow &row, TimePoint time, TimePoint now) const
 {
-    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(directory_, placementQueryOf(row), now);
+    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(fleet_.directory(), placementQueryOf(row), now);
     return pausedUntil.has_value() && *pausedUntil > time;
 }
 
@@ -396,7 +346,7 @@
         return;
     }
     if (row.stream().empty()) {
-        continueAtOnlyVersion(row, poolVersions_.listedVersion(row.pool), now, commands);
+        continueAtOnlyVersion(row, fleet_.poolVersions().listedVersion(row.pool), now, commands);
         return;
     }
     std::vector<OutgoingStreamMessage> queries = origins_.startLookup(row.stream(), now);
@@ -449,8 +399,11 @@
 void RelaySystem::handleUnknownOrigin(RelayRow &row, bool peersAnswered, TimePoint now, RelayCommands &commands)
 {
     const bool isCertain = peersAnswered && row.route->pools.size() == 1;
-    continueAtOnlyVersion(
-        row, isCertain ? poolVersions_.onlyVersion(row.pool, row.streamLifetime(), now) : std::nullopt, now, commands);
+    continueAtOnlyVersion(row,
+                          isCertain ? fleet_.poolVersions().onlyVersion(row.pool, row.streamLifetime(), now)
+                                    : std::nullopt,
+                          now,
+                          commands);
 }
 
 void RelaySystem::continueAtOnlyVersion(RelayRow &row,
@@ -488,15 +441,15 @@
     if (row == nullptr) {
         return;
     }
-    const bool isNew = notice.pause.has_value() || !notices_.isLeaving(row->upstream);
+    const bool isNew = notice.pause.has_value() || !fleet_.notices().isLeaving(row->upstream);
     if (isNew) {
         commands.emplace_back(recordNotice(*row, notice));
     }
     if (notice.leaving) {
-        notices_.noteLeaving(row->upstream, now);
+        fleet_.noteLeaving(row->upstream, now);
     }
     if (notice.pause.has_value()) {
-        notices_.notePause(row->upstream, *notice.pause, now);
+        fleet_.notePause(row->upstream, *notice.pause, now);
     }
     if (isNew) {
         refusePaused(PoolName(row->pool), now, commands);
@@ -667,7 +620,7 @@
     const Duration timeLeft = row.deadline - now;
     const std::size_t ahead = queues_[row.queueKey].maxAhead(row.tier);
     const Duration estimate = retryAfterEstimatorOf(row).retryAfter(ahead, timeLeft);
-    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(directory_, placementQueryOf(row), now);
+    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(fleet_.directory(), placementQueryOf(row), now);
     // A caller that cannot wait so long may still be served by another node, for which other pauses hold.
     if (!pausedUntil.has_value() || *pausedUntil - now >= timeLeft) {
         return estimate;
@@ -688,8 +641,7 @@
 
 void RelaySystem::tick(TimePoint now, RelayCommands &commands)
 {
-    handleDirectoryChanges(directory_.expire(now), commands);
-    peers_.expire(now);
+    handleDirectoryChanges(fleet_.expire(now), commands);
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
         const bool expired = now >= row.deadline;
@@ -718,7 +670,7 @@
     std::vector<OutgoingStreamMessage> queries = origins_.repeatQueries(now);
     std::move(queries.begin(), queries.end(), std::back_inserter(commands));
     origins_.expire(now);
-    for (RelayProbe &probe : placement_.startDueProbes(directory_, now)) {
+    for (RelayProbe &probe : placement_.startDueProbes(fleet_.directory(), now)) {
         commands.emplace_back(std::move(probe));
     }
     for (auto &[queueKey, queue] : queues_) {
@@ -764,7 +716,7 @@
 {
     const auto [budget, isNew] = budgets_.try_emplace(pool, settings_.retryAllowance);
     if (isNew) {
-        budget->second.setNodes(nodeRegistry_.sharingNodes());
+        budget->second.setNodes(fleet_.nodes().sharingNodes());
     }
     return budget->second;
 }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <vector>
 
-#include "servers/relay/node_registry.h"
+#include "servers/relay/fleet_state.h"
 #include "servers/relay/relay_admission.h"
 #include "servers/relay/relay_placement.h"
 #include "servers/relay/relay_queue.h"
@@ -42,27 +42,19 @@
     /** Applies the complete list of registered upstreams, which was current at some time not before asOf. */
     void updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
-    void registryReadFailed() { directory_.readFailed(); }
+    void registryReadFailed() { fleet_.registryReadFailed(); }
 
     /** Applies the complete list of registered relays, which was current at some time not before asOf. */
     void updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
     /** Records that the store confirmed this node's entry. */
-    void nodeRegistered(const StoreState &state) { nodeRegistry_.noteRegistered(state); }
-
-    /** True if this node's entry must be written to the store. */
-    bool needsRegistration() const { return nodeRegistry_.needsRegistration(storeEras_); }
-
-    /** True if the list of relays should be read again now. */
-    bool needsNodes(TimePoint now) const { return nodeRegistry_.needsList(storeEras_, now); }
+    void nodeRegistered(const StoreState &state) { fleet_.noteRegistered(state); }
 
     /** Handles the report of another relay. */
     void peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands);
 
     /** The report to send to another relay. */
-    PeerReport reportFor(const NodeName &peer, TimePoint now);
-
-    const PeerView &peers() const { return peers_; }
+    PeerReport reportFor(const NodeName &peer, TimePoint now) { return fleet_.reportFor(peer, now); }
 
     /** Work reports to send; to be called once per WorkReportPeriod. */
     std::vector<OutgoingWorkReport> reportWork(TimePoint now);
@@ -104,19 +96,13 @@
     /** Number of requests without a final response. */
     std::size_t inFlight() const { return rows_.size(); }
 
-    /** True if the node can accept requests: it has a configuration and a list of upstreams. */
-    bool ready() const { return configuration_.table() != nullptr && directory_.hasList(); }
-
-    const StoreEras &storeEras() const { return storeEras_; }
-    const ConfigurationTracker &configuration() const { return configuration_; }
-    const UpstreamDirectory &directory() const { return directory_; }
+    /** What the node knows about the store, the configuration, the upstreams and the other nodes. */
+    const FleetState &fleet() const { return fleet_; }
 
     /** Returns and clears the metrics of requests that have finished since the last call. */
     std::vector<RelayRequestMetrics> takeRequestMetrics();
 
 private:
-    /** Records which state of the store an answer shows. */
-    void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
     /** Divides the retry budgets among the known nodes. */
     void divideBudgets();
@@ -161,15 +147,9 @@
     RelayRetryBudget &budgetOf(const PoolName &pool);
 
     RelaySystemSettings settings_;
-    StoreEras storeEras_;
-    ConfigurationTracker configuration_;
-    UpstreamDirectory directory_;
-    UpstreamNotices notices_;
-    NodeRegistry nodeRegistry_;
-    PeerView peers_;
+    FleetState fleet_;
     WorkExchange workExchange_;
     RelayPlacement placement_;
-    PoolVersions poolVersions_;
     StreamOrigins origins_;
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
@@ -180,7 +160,6 @@
     std::vector<RelayRequestMetrics> requestMetrics_;
     std::uint64_t lastAttemptSequence_ = 0;
     bool draining_ = false;
-    std::uint64_t lastReportSequence_ = 0;
 };
 
 } // namespace GeraniumLever
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -48,17 +48,18 @@
     report.sentAfter = echoedAt;
     advance(seconds(1));
     system_.peerReportReceived(report, clock_.now(), commands_);
-    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2));
+    EXPECT_EQ(system_.fleet().configuration().age(clock_.now()), seconds(2));
     report.sequence = 2;
     report.configuration = { ConfigurationVersion(2), 0 };
     report.sentAfter = clock_.now();
     system_.peerReportReceived(report, clock_.now(), commands_);
-    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2)) << "a report of another version confirms nothing";
+    EXPECT_EQ(system_.fleet().configuration().age(clock_.now()), seconds(2))
+        << "a report of another version confirms nothing";
     report.sequence = 3;
     report.configuration = { ConfigurationVersion(1), 0 };
     report.sentAfter = TimePoint();
     system_.peerReportReceived(report, clock_.now(), commands_);
-    EXPECT_EQ(system_.configuration().age(clock_.now()), seconds(2))
+    EXPECT_EQ(system_.fleet().configuration().age(clock_.now()), seconds(2))
         << "a report without an echoed time cannot be dated";
 }
 
