Tell the store's era in log lines and metrics

Cause: a refused request's line told the version of the configuration but not the era that gave it out, and no metric told the era.

Change: config_era in decision=reject, and the gauge geranium_relay_store_era.

--- a/main/relay/relay_metrics.cpp
+++ b/main/relay/relay_metrics.cpp
@@ -16,6 +16,7 @@
 const MetricFamily version { "geranium_relay_configuration_version", "Version of the configuration in use." };
 const MetricFamily ageSeconds { "geranium_relay_configuration_age_seconds",
                                 "Time since the configuration was last known to be the newest." };
+const MetricFamily storeEra { "geranium_relay_store_era", "Era of the store; rises when it is restored from a copy." };
 const MetricFamily upstreams { "geranium_relay_upstreams", "Registered upstreams." };
 const MetricFamily droppedLines { "geranium_relay_dropped_log_lines", "Log lines that a slow reader made drop." };
 
@@ -58,6 +59,7 @@
     registry_.gauge(version).set(static_cast<double>(system.fleet().configuration().version().value()));
     const std::optional<Duration> age = system.fleet().configuration().age(now);
     registry_.gauge(ageSeconds).set(age.has_value() ? std::chrono::duration<double>(*age).count() : -1.0);
+    registry_.gauge(storeEra).set(static_cast<double>(system.fleet().storeEras().era()));
     registry_.gauge(upstreams).set(static_cast<double>(system.fleet().directory().entries().size()));
     registry_.gauge(droppedLines).set(static_cast<double>(droppedLogLines));
     return registry_.render();
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -117,6 +117,7 @@
     decision.fields.emplace_back("request", request.callerId);
     decision.fields.emplace_back("code", std::string(resultCodeName(error.code)));
     decision.fields.emplace_back("config", std::to_string(configuration.version().value()));
+    decision.fields.emplace_back("config_era", std::to_string(configuration.era()));
     const std::optional<Duration> age = configuration.age(now);
     decision.fields.emplace_back("config_age_ms", age.has_value() ? milliseconds(*age) : "none");
     return decision;
