Look notices up by the upstream's name

Cause: each candidate of a placement built the identity of its upstream twice, with two copied texts, to look up notices that hardly any upstream has.

Change: notices are kept by name and compared with the entry itself. A known leaving is found once, when it is noted.

--- a/servers/relay/fleet_state.h
+++ b/servers/relay/fleet_state.h
@@ -34,7 +34,8 @@
     /** Records that the store confirmed this node's entry. */
     void noteRegistered(const StoreState &state) { nodes_.noteRegistered(state); }
 
-    void noteLeaving(const UpstreamIdentity &upstream, TimePoint now) { notices_.noteLeaving(upstream, now); }
+    /** Returns false if this is known. */
+    bool noteLeaving(const UpstreamIdentity &upstream, TimePoint now) { return notices_.noteLeaving(upstream, now); }
     void notePause(const UpstreamIdentity &upstream, Duration pause, TimePoint now)
     {
         notices_.notePause(upstream, pause, now);
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -140,7 +140,7 @@
         if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || query.excluded.count(name) > 0) {
             continue;
         }
-        if (now < notices_.pausedUntil(entry.identity())) {
+        if (now < notices_.pausedUntil(entry)) {
             continue;
         }
         Candidate candidate;
@@ -199,7 +199,7 @@
         if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || !query.accepts(entry.version)) {
             continue;
         }
-        const TimePoint until = notices_.pausedUntil(entry.identity());
+        const TimePoint until = notices_.pausedUntil(entry);
         if (now >= until) {
             return std::nullopt;
         }
@@ -370,7 +370,7 @@
     for (auto &[name, load] : loads_) {
         const UpstreamEntry *entry = directory.entries().find(name);
         const bool mayProbe =
-            entry != nullptr && notices_.acceptsRequests(*entry) && now >= notices_.pausedUntil(entry->identity());
+            entry != nullptr && notices_.acceptsRequests(*entry) && now >= notices_.pausedUntil(*entry);
         if (mayProbe && load.startProbeIfDue(now)) {
             probes.push_back({ name, entry->address });
         }
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -441,19 +441,15 @@
     if (row == nullptr) {
         return;
     }
-    const bool isNew = notice.pause.has_value() || !fleet_.notices().isLeaving(row->upstream);
-    if (isNew) {
-        commands.emplace_back(recordNotice(*row, notice));
-    }
-    if (notice.leaving) {
-        fleet_.noteLeaving(row->upstream, now);
-    }
+    const bool wasLeaving = notice.leaving && !fleet_.noteLeaving(row->upstream, now);
     if (notice.pause.has_value()) {
         fleet_.notePause(row->upstream, *notice.pause, now);
     }
-    if (isNew) {
-        refusePaused(PoolName(row->pool), now, commands);
+    if (wasLeaving && !notice.pause.has_value()) {
+        return;
     }
+    commands.emplace_back(recordNotice(*row, notice));
+    refusePaused(row->pool, now, commands);
 }
 
 void RelaySystem::headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands)
--- a/servers/routing/upstream_notices.cpp
+++ b/servers/routing/upstream_notices.cpp
@@ -1,6 +1,7 @@
 #include "servers/routing/upstream_notices.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace GeraniumLever {
 
@@ -11,38 +12,38 @@
 
 } // namespace
 
-void UpstreamNotices::noteLeaving(const UpstreamIdentity &upstream, TimePoint now)
+bool UpstreamNotices::noteLeaving(const UpstreamIdentity &upstream, TimePoint now)
 {
-    Notice &notice = notices_[upstream];
-    notice.isLeaving = true;
+    Notice &notice = noticeOf(upstream);
     notice.lastKnownAt = now;
+    return !std::exchange(notice.isLeaving, true);
 }
 
 void UpstreamNotices::notePause(const UpstreamIdentity &upstream, Duration pause, TimePoint now)
 {
-    Notice &notice = notices_[upstream];
+    Notice &notice = noticeOf(upstream);
     // Responses can overtake each other, so a shorter pause does not end an earlier one.
     notice.pausedUntil = std::max(notice.pausedUntil, now + std::min(pause, MaxPause));
     notice.lastKnownAt = now;
 }
 
-TimePoint UpstreamNotices::pausedUntil(const UpstreamIdentity &upstream) const
+TimePoint UpstreamNotices::pausedUntil(const UpstreamEntry &entry) const
 {
-    const auto found = notices_.find(upstream);
-    return found == notices_.end() ? TimePoint() : found->second.pausedUntil;
+    const Notice *notice = find(entry);
+    return notice == nullptr ? TimePoint() : notice->pausedUntil;
 }
 
-bool UpstreamNotices::isLeaving(const UpstreamIdentity &upstream) const
+bool UpstreamNotices::isLeaving(const UpstreamEntry &entry) const
 {
-    const auto found = notices_.find(upstream);
-    return found != notices_.end() && found->second.isLeaving;
+    const Notice *notice = find(entry);
+    return notice != nullptr && notice->isLeaving;
 }
 
 void UpstreamNotices::update(const Table<UpstreamName, UpstreamEntry> &entries, TimePoint now)
 {
-    for (auto &[upstream, notice] : notices_) {
-        const UpstreamEntry *entry = entries.find(upstream.name);
-        if (entry != nullptr && entry->identity() == upstream) {
+    for (auto &[name, notice] : notices_) {
+        const UpstreamEntry *entry = entries.find(name);
+        if (entry != nullptr && entry->identity() == notice.upstream) {
             notice.lastKnownAt = now;
         }
     }
@@ -52,4 +53,22 @@
     });
 }
 
+const UpstreamNotices::Notice *UpstreamNotices::find(const UpstreamEntry &entry) const
+{
+    const auto [first, last] = notices_.equal_range(entry.name);
+    const auto found = std::find_if(first, last, [&entry](const auto &item) {
+        const UpstreamIdentity &upstream = item.second.upstream;
+        return upstream.address == entry.address && upstream.incarnation == entry.incarnation;
+    });
+    return found == last ? nullptr : &found->second;
+}
+
+UpstreamNotices::Notice &UpstreamNotices::noticeOf(const UpstreamIdentity &upstream)
+{
+    const auto [first, last] = notices_.equal_range(upstream.name);
+    const auto found =
+        std::find_if(first, last, [&upstream](const auto &item) { return item.second.upstream == upstream; });
+    return found == last ? notices_.emplace(upstream.name, Notice { upstream, false, {}, {} })->second : found->second;
+}
+
 } // namespace GeraniumLever
--- a/tests/servers/routing/upstream_notices_test.cpp
+++ b/tests/servers/routing/upstream_notices_test.cpp
@@ -46,20 +46,21 @@
 
 TEST_F(UpstreamNoticesTest, PauseHoldsForOneIncarnationUntilItsEnd)
 {
-    const UpstreamIdentity upstream = entryOf("a", 1).identity();
-    EXPECT_EQ(notices_.pausedUntil(upstream), TimePoint());
+    const UpstreamEntry entry = entryOf("a", 1);
+    const UpstreamIdentity upstream = entry.identity();
+    EXPECT_EQ(notices_.pausedUntil(entry), TimePoint());
     notices_.notePause(upstream, std::chrono::seconds(2), clock_.now());
     const TimePoint end = clock_.now() + std::chrono::seconds(2);
     update({});
     update({ entryOf("a", 1) });
-    EXPECT_EQ(notices_.pausedUntil(upstream), end);
-    EXPECT_EQ(notices_.pausedUntil(entryOf("a", 2).identity()), TimePoint());
-    EXPECT_FALSE(notices_.isLeaving(upstream));
+    EXPECT_EQ(notices_.pausedUntil(entry), end);
+    EXPECT_EQ(notices_.pausedUntil(entryOf("a", 2)), TimePoint());
+    EXPECT_FALSE(notices_.isLeaving(entry));
     clock_.advance(std::chrono::seconds(1));
     notices_.notePause(upstream, std::chrono::milliseconds(500), clock_.now());
-    EXPECT_EQ(notices_.pausedUntil(upstream), end);
+    EXPECT_EQ(notices_.pausedUntil(entry), end);
     notices_.notePause(upstream, std::chrono::hours(100000), clock_.now());
-    EXPECT_EQ(notices_.pausedUntil(upstream), clock_.now() + MaxPause);
+    EXPECT_EQ(notices_.pausedUntil(entry), clock_.now() + MaxPause);
     clock_.advance(std::chrono::minutes(20));
     update({});
     EXPECT_EQ(notices_.size(), 1U);
@@ -81,7 +82,7 @@
         update({ entryOf("a", 1) });
     }
     EXPECT_EQ(notices_.size(), 1U);
-    EXPECT_TRUE(notices_.isLeaving(entryOf("a", 1).identity()));
+    EXPECT_TRUE(notices_.isLeaving(entryOf("a", 1)));
 }
 
 } // namespace
