--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -150,15 +150,16 @@
 
 std::string ServerStandIn::registration(const std::string &state) const
 {
-    return boost::json::serialize(boost::json::object { { "service", settings_.service },
-                                                        { "address", address() },
-                                                        { "zone", settings_.zone },
-                                                        { "version", settings_.version },
-                                                        { "slots", settings_.slots },
-                                                        { "state", state },
-                                                        { "cold_left_ms", 0 },
-                                                        { "born", incarnation_ },
-                                                        { "seq", 1 } });
+    return boost::json::serialize(
+        boost::json::object { { "service", settings_.service },
+                              { "address", advertisedAddress_.empty() ? address() : advertisedAddress_ },
+                              { "zone", settings_.zone },
+                              { "version", settings_.version },
+                              { "slots", settings_.slots },
+                              { "state", state },
+                              { "cold_left_ms", 0 },
+                              { "born", incarnation_ },
+                              { "seq", 1 } });
 }
 
 std::string ServerStandIn::head(unsigned status,
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -89,6 +89,9 @@
 
     std::string address() const { return server_.address(); }
 
+    /** Registers under this address from now on, instead of the one that it listens on. */
+    void advertise(const std::string &address) { advertisedAddress_ = address; }
+
     /** The row that it writes into the store. */
     std::string registration(const std::string &state = "ready") const;
 
@@ -138,6 +141,7 @@
     std::vector<ServerArrival> arrivals_;
     std::uint32_t running_ = 0;
     std::uint64_t incarnation_ = 1;
+    std::string advertisedAddress_;
     bool leaving_ = false;
     std::string pause_;
     RawServer server_;
