Accept keys after a start only once the store's era is known to be old

Seen by callers: a key ran 2.2 s after its removal (lifetime 1.5 s) at a node that had started 25 ms after the store came back from a copy without the removal.

Cause: a node that has just started cannot see how long the store has been in its era, and took it for old. The first report of another node told it otherwise, 0.4 s later.

NodeThatStartsAcceptsKeysOnceItIsKnownThatTheStoreWasNotJustRestored (relay_test) replaces the test that fixed the old behaviour, and is stricter: it expects a refusal from the start. NodeThatStartsInAnOldEraConfirmsOnceAnotherReportsItsAge and NodeThatStartsAloneConfirmsAfterTheRewriteTime (routing_test) are new.

Change: an era counts from the first moment at which any node is known to have seen it, for a node that starts from its own first read. A read that could not be trusted is confirmed later by a report that tells a greater age. So that this takes milliseconds, a node reads the list of nodes when it starts, reports to its targets even if it is not listed yet, and a report from a node that is new gets one back. In era 0, or if the store states none, nothing changes. The same holds for the list of nodes and the shares of the retry budget.

--- a/development/platform_standins/store_stand_in.h
+++ b/development/platform_standins/store_stand_in.h
@@ -90,7 +90,7 @@
     boost::asio::io_context &context_;
     StoreTables tables_;
     StoreTables copy_;
-    std::uint64_t era_ = 1;
+    std::uint64_t era_ = 0;
     std::uint64_t restoreAtCall_ = 0;
     std::map<std::string, std::string> objects_;
     StoreFault fault_ = StoreFault::None;
--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -32,9 +32,7 @@
     report.sentAt = timeOf(reader.getSentAt());
     report.sentAfter = timeOf(reader.getSentAfter());
     report.storeEra.era = reader.getStoreEra();
-    if (reader.getStoreEraAge() >= 0) {
-        report.storeEra.age = Duration(reader.getStoreEraAge());
-    }
+    report.storeEra.age = Duration(reader.getStoreEraAge());
     report.storeEra.firstVersion = reader.getStoreFirstVersion();
     return report;
 }
@@ -117,7 +115,7 @@
     builder.setSentAt(report.sentAt.time_since_epoch().count());
     builder.setSentAfter(report.sentAfter.time_since_epoch().count());
     builder.setStoreEra(report.storeEra.era);
-    builder.setStoreEraAge(report.storeEra.age.value_or(Duration(-1)).count());
+    builder.setStoreEraAge(report.storeEra.age.count());
     builder.setStoreFirstVersion(report.storeEra.firstVersion);
 }
 
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -59,7 +59,6 @@
   sentAfter @6 :Int64;
   configurationDigest @7 :UInt64;
   storeEra @8 :UInt64;
-  # -1 if not known.
   storeEraAge @9 :Int64;
   storeFirstVersion @10 :UInt64;
 }
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -58,7 +58,7 @@
     if (!succeeded(started)) {
         return started;
     }
-    scheduleRead(InitialReadDelay);
+    readNodes(InitialReadDelay);
     sendReports();
     sendWorkReports();
     return started;
@@ -101,15 +101,15 @@
     }
     const bool readRecently = std::chrono::steady_clock::now() - lastRead_ <= MinNodeListReadInterval;
     if (system_.fleet().needsNodes(clock_.now()) && !readRecently) {
-        readNodes();
+        readNodes(NodeListReadPeriod);
     }
 }
 
-void PeerExchange::readNodes()
+void PeerExchange::readNodes(std::chrono::steady_clock::duration nextDelay)
 {
     lastRead_ = std::chrono::steady_clock::now();
     const TimePoint asOf = clock_.now();
-    store_.readNodes([this, asOf](const Result<StoredNodes> &result) {
+    store_.readNodes([this, asOf, nextDelay](const Result<StoredNodes> &result) {
         if (stopped_) {
             return;
         }
@@ -123,7 +123,10 @@
             LOG(INFO) << "event=nodes_listed nodes=" << valueOf(result).nodes.size()
                       << " targets=" << system_.fleet().peers().targets().size();
         }
-        scheduleRead(NodeListReadPeriod);
+        if (nextDelay == InitialReadDelay) {
+            sendReportsOnce();
+        }
+        scheduleRead(nextDelay);
     });
 }
 
@@ -132,7 +135,7 @@
     readTimer_.expires_after(delay);
     readTimer_.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled && !stopped_) {
-            readNodes();
+            readNodes(NodeListReadPeriod);
         }
     });
 }
@@ -140,9 +143,7 @@
 void PeerExchange::sendReports()
 {
     renewRegistration();
-    for (const PeerNode &peer : system_.fleet().peers().targets()) {
-        link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
-    }
+    sendReportsOnce();
     reportTimer_.expires_after(PeerReportPeriod);
     reportTimer_.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled && !stopped_) {
@@ -151,6 +152,13 @@
     });
 }
 
+void PeerExchange::sendReportsOnce()
+{
+    for (const PeerNode &peer : system_.fleet().peers().targets()) {
+        link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
+    }
+}
+
 void PeerExchange::sendWorkReports()
 {
     const TimePoint now = clock_.now();
@@ -183,16 +191,21 @@
     const NodeName &sender = std::visit([](const auto &value) -> const NodeName & { return senderOf(value); }, message);
     if (peer == nullptr || peer->node != sender) {
         if (!stopped_ && std::chrono::steady_clock::now() - lastRead_ > MinNodeListReadInterval) {
-            readNodes();
+            readNodes(NodeListReadPeriod);
         }
         return;
     }
     std::visit([&](const auto &value) { handle(*peer, value); }, message);
 }
 
-void PeerExchange::handle(const PeerNode &, const PeerReport &report)
+void PeerExchange::handle(const PeerNode &peer, const PeerReport &report)
 {
+    const bool isNew = system_.fleet().peers().isNew(report);
     observer_.peerReportReceived(report);
+    // A node that has just started needs to know how old the store's era is before it can accept keys.
+    if (isNew && !stopped_) {
+        link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
+    }
 }
 
 void PeerExchange::handle(const PeerNode &peer, const WorkReport &report)
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -43,9 +43,12 @@
     void registerNode();
     /** Writes the node's entry and reads the others if the store may have lost some. */
     void renewRegistration();
-    void readNodes();
+    /** nextDelay: time until the list is read again. */
+    void readNodes(std::chrono::steady_clock::duration nextDelay);
     void scheduleRead(std::chrono::steady_clock::duration delay);
+    /** Sends reports, and again after each PeerReportPeriod. */
     void sendReports();
+    void sendReportsOnce();
     void sendWorkReports();
     void handleDatagram(const std::string &from, const PeerDatagram &message);
     void handle(const PeerNode &peer, const PeerReport &report);
--- a/servers/relay/fleet_state.cpp
+++ b/servers/relay/fleet_state.cpp
@@ -61,10 +61,9 @@
     }
     if (storeEras_.note(report.storeEra, now)) {
         commands.emplace_back(recordStoreEra(storeEras_, now));
-        // What this node read of the era was taken for the newest state, although lost rows may have been missing.
-        configuration_.withdrawConfirmations(*storeEras_.since());
-        nodes_.withdrawCompleteness(*storeEras_.since());
     }
+    configuration_.confirmLastRead(storeEras_);
+    nodes_.completeLastList(storeEras_);
     if (report.sentAfter == TimePoint() || report.sentAfter > now) {
         return;
     }
--- a/servers/relay/node_registry.cpp
+++ b/servers/relay/node_registry.cpp
@@ -40,10 +40,10 @@
     return isComplete_ ? nodes_.size() : std::max(nodes_.size(), MinSharingNodes);
 }
 
-void NodeRegistry::withdrawCompleteness(TimePoint since)
+void NodeRegistry::completeLastList(const StoreEras &eras)
 {
-    if (listAsOf_.has_value() && *listAsOf_ >= since) {
-        isComplete_ = false;
+    if (listAsOf_.has_value() && listEra_ == eras.era() && !eras.mayLackRows(*listAsOf_)) {
+        isComplete_ = true;
     }
 }
 
--- a/servers/relay/node_registry.h
+++ b/servers/relay/node_registry.h
@@ -27,8 +27,8 @@
      *  been complete, so that nothing is granted twice. Absent before the first list. */
     std::optional<std::size_t> sharingNodes() const;
 
-    /** Records that lists read at this time or later may have lacked nodes. */
-    void withdrawCompleteness(TimePoint since);
+    /** Takes the last list for complete if it is known by now that the store did not lack nodes then. */
+    void completeLastList(const StoreEras &eras);
 
     /** Records that the store confirmed this node's entry. */
     void noteRegistered(const StoreState &state) { registeredEra_ = state.era; }
--- a/servers/relay/peer_view.cpp
+++ b/servers/relay/peer_view.cpp
@@ -36,6 +36,12 @@
     return true;
 }
 
+bool PeerView::isNew(const PeerReport &report) const
+{
+    const auto found = lastReports_.find(report.node);
+    return found == lastReports_.end() || found->second.incarnation != report.incarnation;
+}
+
 void PeerView::expire(TimePoint now)
 {
     std::erase_if(lastReports_, [now](const auto &entry) { return now - entry.second.receivedAt > PeerTimeout; });
@@ -44,12 +50,14 @@
 std::vector<PeerNode> PeerView::targets() const
 {
     std::vector<PeerNode> targets;
-    const auto self = nodes_.find(self_);
-    if (self == nodes_.end()) {
+    if (nodes_.empty()) {
         return targets;
     }
-    const std::vector<std::pair<NodeName, PeerNode>> ring(nodes_.begin(), nodes_.end());
-    const std::size_t own = static_cast<std::size_t>(std::distance(nodes_.begin(), self));
+    // The list may be older than this node's own entry.
+    std::map<NodeName, PeerNode> nodes = nodes_;
+    const auto self = nodes.try_emplace(self_).first;
+    const std::vector<std::pair<NodeName, PeerNode>> ring(nodes.begin(), nodes.end());
+    const std::size_t own = static_cast<std::size_t>(std::distance(nodes.begin(), self));
     std::set<std::size_t> chosen;
     for (const std::size_t distance : ReportDistances) {
         const std::size_t step = distance % ring.size();
--- a/servers/relay/peer_view.h
+++ b/servers/relay/peer_view.h
@@ -69,6 +69,9 @@
     /** Returns false if the report's node is this one or not listed, or if the report is older than the last one. */
     bool receive(const PeerReport &report, TimePoint now);
 
+    /** True if no report of this incarnation of the node has arrived lately. */
+    bool isNew(const PeerReport &report) const;
+
     /** Drops reports older than PeerTimeout. */
     void expire(TimePoint now);
 
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -65,7 +65,7 @@
     const StoreEraReport known = eras.report(now);
     Decision decision { "store_restored", {} };
     decision.fields.emplace_back("era", std::to_string(known.era));
-    decision.fields.emplace_back("age_ms", known.age.has_value() ? milliseconds(*known.age) : "none");
+    decision.fields.emplace_back("age_ms", milliseconds(known.age));
     decision.fields.emplace_back("first_version", std::to_string(known.firstVersion));
     return decision;
 }
--- a/servers/routing/configuration_tracker.cpp
+++ b/servers/routing/configuration_tracker.cpp
@@ -15,10 +15,8 @@
 {
     const bool isFirst = table_ == nullptr;
     if (!isFirst && stored.configuration->id() == id()) {
-        era_ = std::max(era_, stored.state.era);
-        const bool isRewritten = !eras.isOutdated(stored.state) && eras.isWrittenInEra(stored.rowVersion);
-        if (isRewritten || (!eras.isOutdated(stored.state) && !eras.mayLackRows(asOf))) {
-            newestAsOf_ = std::max(newestAsOf_.value_or(asOf), asOf);
+        if (!eras.isOutdated(stored.state)) {
+            noteShown(stored, eras, asOf);
         }
         return false;
     }
@@ -32,12 +30,18 @@
         }
     }
     table_ = std::make_shared<const RouteTable>(stored.configuration);
+    noteShown(stored, eras, asOf);
+    return true;
+}
+
+void ConfigurationTracker::noteShown(const StoredConfiguration &stored, const StoreEras &eras, TimePoint asOf)
+{
     era_ = stored.state.era;
+    shownAsOf_ = asOf;
     // Otherwise it may have been replaced by one that the store has lost. It is at least as new as the one before.
     if (!eras.mayLackRows(asOf) || eras.isWrittenInEra(stored.rowVersion)) {
-        newestAsOf_ = asOf;
+        newestAsOf_ = std::max(newestAsOf_.value_or(asOf), asOf);
     }
-    return true;
 }
 
 bool ConfigurationTracker::isNewer(const StoredConfiguration &stored, const StoreEras &eras, TimePoint asOf) const
@@ -73,10 +77,10 @@
     return true;
 }
 
-void ConfigurationTracker::withdrawConfirmations(TimePoint since)
+void ConfigurationTracker::confirmLastRead(const StoreEras &eras)
 {
-    if (newestAsOf_.has_value() && *newestAsOf_ >= since) {
-        newestAsOf_.reset();
+    if (table_ != nullptr && era_ == eras.era() && !eras.mayLackRows(shownAsOf_)) {
+        newestAsOf_ = std::max(newestAsOf_.value_or(shownAsOf_), shownAsOf_);
     }
 }
 
--- a/servers/routing/configuration_tracker.h
+++ b/servers/routing/configuration_tracker.h
@@ -32,8 +32,9 @@
      *  if it is not the active one, or if the store may have lacked newer ones by then. */
     bool confirm(const ConfigurationId &confirmed, const StoreEras &eras, TimePoint asOf);
 
-    /** Withdraws confirmations as of this time or later, at which the store may have lacked newer configurations. */
-    void withdrawConfirmations(TimePoint since);
+    /** Confirms the active configuration as of the last read if it is known by now that the store did not lack newer
+     *  ones then. */
+    void confirmLastRead(const StoreEras &eras);
 
     /** Route table of the active configuration; nullptr before the first configuration. */
     const RouteTablePtr &table() const { return table_; }
@@ -51,12 +52,16 @@
     std::uint64_t era() const { return era_; }
 
 private:
+    /** The read showed the active configuration. */
+    void noteShown(const StoredConfiguration &stored, const StoreEras &eras, TimePoint asOf);
     bool isNewer(const StoredConfiguration &stored, const StoreEras &eras, TimePoint asOf) const;
     bool wasReplaced(const ConfigurationId &configuration) const;
 
     RouteTablePtr table_;
     std::uint64_t era_ = 0;
     std::optional<TimePoint> newestAsOf_;
+    /** When the last read was sent that showed the active configuration. */
+    TimePoint shownAsOf_;
     /** The configurations that were active before, newest last. */
     std::deque<ConfigurationId> replaced_;
 };
--- a/servers/routing/store_eras.cpp
+++ b/servers/routing/store_eras.cpp
@@ -10,15 +10,15 @@
     if (state.era < era_) {
         return false;
     }
+    const bool hadState = std::exchange(hasState_, true);
     if (state.era == era_) {
         firstVersion_ = std::min(firstVersion_, state.version);
         return false;
     }
-    const bool hadEra = std::exchange(era_, state.era) != 0;
+    era_ = state.era;
     firstVersion_ = state.version;
-    // The first era that a node sees may have begun long before.
-    since_ = hadEra ? std::optional<TimePoint>(now) : std::nullopt;
-    return hadEra;
+    since_ = now;
+    return hadState;
 }
 
 bool StoreEras::note(const StoreEraReport &report, TimePoint now)
@@ -26,27 +26,14 @@
     if (report.era == 0 || report.era < era_) {
         return false;
     }
-    bool learnt = false;
-    if (report.era > era_) {
-        learnt = note(StoreState { report.era, report.firstVersion }, now);
-    }
-    firstVersion_ = std::min(firstVersion_, report.firstVersion);
-    if (!report.age.has_value()) {
-        return learnt;
-    }
-    const TimePoint since = now - *report.age;
-    learnt = learnt || !since_.has_value();
-    since_ = std::min(since_.value_or(since), since);
-    return learnt;
+    const bool isLater = note(StoreState { report.era, report.firstVersion }, now);
+    since_ = std::min(since_, now - report.age);
+    return isLater;
 }
 
 StoreEraReport StoreEras::report(TimePoint now) const
 {
-    StoreEraReport report { era_, std::nullopt, firstVersion_ };
-    if (since_.has_value()) {
-        report.age = now - *since_;
-    }
-    return report;
+    return { era_, era_ == 0 ? Duration(0) : now - since_, firstVersion_ };
 }
 
 } // namespace GeraniumLever
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -71,7 +71,7 @@
         if (previous != nullptr) {
             return previous;
         }
-        if (now < *eras.since() + RestoredEntryLifetime) {
+        if (now < eras.since() + RestoredEntryLifetime) {
             return nullptr;
         }
     }
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -76,7 +76,7 @@
     store_.put("op", "other", "{}");
     StoredConfiguration read = valueOf(readConfiguration());
     EXPECT_EQ(read.rowVersion, 1U);
-    EXPECT_EQ(read.state, (StoreState { 1, 2 }));
+    EXPECT_EQ(read.state, (StoreState { 0, 2 }));
     store_.copy();
     store_.put("op", "config", "{\"version\": 3}");
     EXPECT_EQ(valueOf(readConfiguration()).rowVersion, 3U);
@@ -84,7 +84,7 @@
     store_.restore();
     read = valueOf(readConfiguration());
     EXPECT_EQ(read.rowVersion, 1U);
-    EXPECT_EQ(read.state, (StoreState { 2, 2 }));
+    EXPECT_EQ(read.state, (StoreState { 1, 2 }));
     store_.put("servers", "a", R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})");
     EXPECT_EQ(valueOf(readUpstreams()).upstreams.at(0).rowVersion, 3U);
 }
@@ -101,7 +101,7 @@
     EXPECT_EQ(errorOf(readUpstreams()).code, ResultCode::TableUnavailable);
     const StoredUpstreams stored = valueOf(readUpstreams());
     EXPECT_EQ(stored.upstreams.size(), 700U);
-    EXPECT_EQ(stored.state.era, 2U);
+    EXPECT_EQ(stored.state.era, 1U);
 }
 
 } // namespace
--- a/tests/servers/relay/node_registry_test.cpp
+++ b/tests/servers/relay/node_registry_test.cpp
@@ -46,25 +46,29 @@
     EXPECT_EQ(registry_.sharingNodes(), 8U);
 }
 
-TEST_F(NodeRegistryTest, NodeThatStartsAfterARestorationTakesNoShortListForTheFleet)
+TEST_F(NodeRegistryTest, NodeThatHasJustStartedTakesNoShortListForTheFleet)
 {
     EXPECT_EQ(registry_.sharingNodes(), std::nullopt);
-    state_ = { 2, 10 };
     update(2);
-    EXPECT_EQ(registry_.sharingNodes(), 2U);
-    EXPECT_TRUE(eras_.note(StoreEraReport { 2, seconds(1), 10 }, clock_.now()));
-    registry_.withdrawCompleteness(*eras_.since());
     EXPECT_EQ(registry_.sharingNodes(), NodeRegistry::MinSharingNodes);
     update(300);
     EXPECT_EQ(registry_.sharingNodes(), 300U);
     EXPECT_FALSE(registry_.needsList(eras_, clock_.now()));
-    clock_.advance(seconds(2));
+    clock_.advance(StoreRewriteTime);
     EXPECT_TRUE(registry_.needsList(eras_, clock_.now()));
     update(9);
     EXPECT_EQ(registry_.sharingNodes(), 9U);
     EXPECT_FALSE(registry_.needsList(eras_, clock_.now()));
 }
 
+TEST_F(NodeRegistryTest, ListIsCompleteOnceTheEraIsKnownToBeOld)
+{
+    update(2);
+    eras_.note(StoreEraReport { 1, seconds(60), 10 }, clock_.now());
+    registry_.completeLastList(eras_);
+    EXPECT_EQ(registry_.sharingNodes(), 2U);
+}
+
 TEST_F(NodeRegistryTest, ListOfAnEarlierEraIsIgnored)
 {
     update(9);
--- a/tests/servers/relay/peer_view_test.cpp
+++ b/tests/servers/relay/peer_view_test.cpp
@@ -89,6 +89,14 @@
     }
 }
 
+TEST_F(PeerViewTest, NodeThatIsNotListedYetReportsToOthers)
+{
+    PeerView view(NodeName("node-104x"));
+    EXPECT_TRUE(view.targets().empty());
+    view.updateNodes(nodesUpTo(9));
+    EXPECT_EQ(view.targets().size(), 6U);
+}
+
 TEST_F(PeerViewTest, CountsListedNodes)
 {
     EXPECT_EQ(view_.nodeCount(), 9U);
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -63,24 +63,22 @@
         << "a report without an echoed time cannot be dated";
 }
 
-TEST_F(RelaySystemTest, KeysAreRefusedOnceAPeerReportsThatTheStoreHasJustBeenRestored)
+TEST_F(RelaySystemTest, NodeThatStartsAcceptsKeysOnceItIsKnownThatTheStoreWasNotJustRestored)
 {
     storeState_ = { 2, 100 };
     configurationRow_ = 90;
     configure();
-    EXPECT_EQ(dispatches(arrive("/read/1")).size(), 1U);
+    EXPECT_EQ(refusals(arrive("/read/1")).at(0).error.code, ResultCode::ConfigurationOutdated);
+    EXPECT_EQ(system_.reportFor(NodeName("node-3"), clock_.now()).configuration, ConfigurationId());
     PeerReport report;
     report.node = NodeName("node-3");
     report.sequence = 1;
     report.storeEra = { 2, seconds(1), 100 };
     system_.peerReportReceived(report, clock_.now(), commands_);
     EXPECT_EQ(refusals(arrive("/read/1")).at(0).error.code, ResultCode::ConfigurationOutdated);
-    EXPECT_EQ(system_.reportFor(NodeName("node-3"), clock_.now()).configuration, ConfigurationId());
-    advance(seconds(1));
-    readStore();
-    EXPECT_EQ(refusals(arrive("/read/1")).at(0).error.code, ResultCode::ConfigurationOutdated);
-    advance(seconds(1));
-    readStore();
+    report.node = NodeName("node-4");
+    report.storeEra = { 2, seconds(60), 100 };
+    system_.peerReportReceived(report, clock_.now(), commands_);
     EXPECT_EQ(dispatches(arrive("/read/1")).size(), 1U);
 }
 
--- a/tests/servers/routing/configuration_tracker_test.cpp
+++ b/tests/servers/routing/configuration_tracker_test.cpp
@@ -56,6 +56,8 @@
 protected:
     RestoredConfigurationTest()
     {
+        eras_.note(state_, clock_.now());
+        clock_.advance(StoreRewriteTime);
         read(10, 90);
         read(12, 120);
     }
@@ -172,18 +174,43 @@
     StoreEras eras;
     ConfigurationTracker tracker;
     eras.note(state_, clock_.now());
-    EXPECT_EQ(eras.report(clock_.now()), (StoreEraReport { 2, std::nullopt, 100 }));
+    EXPECT_EQ(eras.report(clock_.now()), (StoreEraReport { 2, seconds(0), 100 }));
     tracker.update({ versionOf(10), 90, state_ }, eras, clock_.now());
-    EXPECT_EQ(tracker.age(clock_.now()), seconds(0));
-    EXPECT_TRUE(eras.note(report, clock_.now()));
-    tracker.withdrawConfirmations(*eras.since());
     EXPECT_EQ(tracker.age(clock_.now()), std::nullopt);
     EXPECT_FALSE(eras.note(report, clock_.now()));
+    tracker.confirmLastRead(eras);
+    EXPECT_EQ(tracker.age(clock_.now()), std::nullopt);
     clock_.advance(seconds(2));
     tracker.update({ versionOf(10), 90, state_ }, eras, clock_.now());
     EXPECT_EQ(tracker.age(clock_.now()), seconds(0));
 }
 
+TEST_F(RestoredConfigurationTest, NodeThatStartsInAnOldEraConfirmsOnceAnotherReportsItsAge)
+{
+    clock_.advance(seconds(60));
+    StoreEras eras;
+    ConfigurationTracker tracker;
+    eras.note(state_, clock_.now());
+    tracker.update({ versionOf(12), 120, state_ }, eras, clock_.now());
+    EXPECT_EQ(tracker.age(clock_.now()), std::nullopt);
+    clock_.advance(std::chrono::milliseconds(20));
+    EXPECT_FALSE(eras.note(eras_.report(clock_.now()), clock_.now()));
+    tracker.confirmLastRead(eras);
+    EXPECT_EQ(tracker.age(clock_.now()), std::chrono::milliseconds(20));
+}
+
+TEST_F(RestoredConfigurationTest, NodeThatStartsAloneConfirmsAfterTheRewriteTime)
+{
+    StoreEras eras;
+    ConfigurationTracker tracker;
+    eras.note(state_, clock_.now());
+    tracker.update({ versionOf(12), 120, state_ }, eras, clock_.now());
+    clock_.advance(StoreRewriteTime);
+    EXPECT_EQ(tracker.age(clock_.now()), std::nullopt);
+    tracker.update({ versionOf(12), 120, state_ }, eras, clock_.now());
+    EXPECT_EQ(tracker.age(clock_.now()), seconds(0));
+}
+
 TEST_F(RestoredConfigurationTest, NodeWithoutTheStoreIsNotMisledByOneThatStartedAfterTheRestoration)
 {
     StoreEras started;
