Let the soak renew entries to its end and keep what a failed run wrote

Cause: found while tracing failed seeds. Servers stopped renewing their entries when the faults ended, so a restored entry that said "draining" stayed (seed 104). The wait for a node's recovery left its connections open, and after 255 of them the node accepted no more for 20 s (seeds 201, 303, 308, 411, 501, 508). A failed run removed the processes' output.

Change: entries are renewed until the node has recovered; the fixture closes the connections of single requests; the output of a failed run stays.

--- a/development/soak/fault_proxy.cpp
+++ b/development/soak/fault_proxy.cpp
@@ -197,7 +197,11 @@
 void FaultProxy::accept()
 {
     acceptor_.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
         if (error) {
+            accept();
             return;
         }
         const std::shared_ptr<Link> link = std::make_shared<Link>(context_, std::move(socket), fault_);
--- a/tests/system/relay_process_fixture.cpp
+++ b/tests/system/relay_process_fixture.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "tests/drivers/http/raw_listener.h"
@@ -22,6 +23,10 @@
 RelayProcessFixture::~RelayProcessFixture()
 {
     processes_.clear();
+    if (HasFailure()) {
+        std::cout << "settings and output of the processes: " << folder_ << '\n';
+        return;
+    }
     std::filesystem::remove_all(folder_);
 }
 
@@ -77,7 +82,10 @@
 unsigned RelayProcessFixture::statusOf(const RelayProcess &process, const std::string &path)
 {
     try {
-        return sendRequestOn(connectTo(process.statusAddress), "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n").status;
+        const std::shared_ptr<RawConnection> connection = connectTo(process.statusAddress);
+        const unsigned status = sendRequestOn(connection, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n").status;
+        connection->close();
+        return status;
     } catch (const std::exception &) {
         return 0;
     }
@@ -85,7 +93,10 @@
 
 ReceivedResponse RelayProcessFixture::sendRequestToProcess(const RelayProcess &process, const std::string &text)
 {
-    return sendRequestOn(connectTo(process.callerAddress), text);
+    const std::shared_ptr<RawConnection> connection = connectTo(process.callerAddress);
+    ReceivedResponse response = sendRequestOn(connection, text);
+    connection->close();
+    return response;
 }
 
 std::string RelayProcessFixture::readFile(const std::string &path)
--- a/tests/system/relay_soak_test.cpp
+++ b/tests/system/relay_soak_test.cpp
@@ -1,6 +1,7 @@
 /**
  * Runs relay processes under random external faults from a seed and checks the results that callers and servers see.
- * GERANIUM_SOAK_SEEDS sets the number of seeds, GERANIUM_SOAK_FIRST the first one.
+ * GERANIUM_SOAK_SEEDS sets the number of seeds, GERANIUM_SOAK_FIRST the first one, GERANIUM_SOAK_NODES the number of
+ * relays.
  */
 #include <csignal>
 #include <cstdlib>
@@ -17,7 +18,6 @@
 using std::chrono::milliseconds;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr int Nodes = 3;
 constexpr std::size_t MaxOpenCalls = 40;
 constexpr milliseconds RunTime(5000);
 /** Exceeds every deadline and time-out of the calls. */
@@ -30,6 +30,12 @@
 constexpr milliseconds PauseSlack(500);
 constexpr milliseconds HeartbeatPeriod(400);
 
+std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
+{
+    const char *text = std::getenv(variable);
+    return text == nullptr ? fallback : std::stoull(text);
+}
+
 /** One life of a node's process. */
 struct NodeLife
 {
@@ -78,13 +84,12 @@
             servers_[server]->advertise(serverLinks_.back()->address());
             setServerState(server, "ready");
         }
-        while (processes_.size() < Nodes) {
+        while (processes_.size() < nodeCount_) {
             storeLinks_.push_back(std::make_unique<FaultProxy>(loop_.context(), store_.address()));
             addProcess(static_cast<int>(KeyLifetime.count()), storeLinks_.back()->address());
         }
         const SteadyTime end = std::chrono::steady_clock::now() + RunTime;
         SteadyTime nextFault = std::chrono::steady_clock::now() + milliseconds(300);
-        SteadyTime nextHeartbeat = std::chrono::steady_clock::now();
         store_.copy();
         while (std::chrono::steady_clock::now() < end) {
             startCall();
@@ -92,10 +97,7 @@
                 startFault();
                 nextFault += milliseconds(200 + random_->below(500));
             }
-            if (std::chrono::steady_clock::now() >= nextHeartbeat) {
-                sendHeartbeats();
-                nextHeartbeat += HeartbeatPeriod;
-            }
+            sendDueHeartbeats();
             runFor(milliseconds(5 + random_->below(15)));
             endFaults(std::chrono::steady_clock::now());
             checkOpenCalls();
@@ -133,7 +135,7 @@
             text.replace(text.find("key-one"), 7, "key-two");
         }
         try {
-            call.node.node = random_->below(Nodes);
+            call.node.node = random_->below(nodeCount_);
             call.node.starts = starts_[call.node.node];
             call.connection = connectTo(processes_[call.node.node].callerAddress);
         } catch (const std::exception &) {
@@ -146,7 +148,7 @@
 
     void startFault()
     {
-        const std::size_t node = random_->below(Nodes);
+        const std::size_t node = random_->below(nodeCount_);
         const std::size_t server = random_->below(servers_.size());
         RelayProcess &process = processes_[node];
         const SteadyTime until = std::chrono::steady_clock::now() + milliseconds(200 + random_->below(1000));
@@ -233,8 +235,12 @@
         registerServer(*servers_[server], names_[server], state);
     }
 
-    void sendHeartbeats()
+    void sendDueHeartbeats()
     {
+        if (std::chrono::steady_clock::now() < nextHeartbeat_) {
+            return;
+        }
+        nextHeartbeat_ = std::chrono::steady_clock::now() + HeartbeatPeriod;
         for (std::size_t server = 0; server < servers_.size(); ++server) {
             setServerState(server, serverStates_[server]);
         }
@@ -329,10 +335,11 @@
             endFaults(faultEnds_.begin()->first);
         }
         store_.setFault(StoreFault::None);
-        for (std::size_t node = 0; node < Nodes; ++node) {
+        for (std::size_t node = 0; node < nodeCount_; ++node) {
             RelayProcess &process = processes_[node];
             EXPECT_TRUE(runUntil([&]() {
                 relaunchIfEnded(node);
+                sendDueHeartbeats();
                 return statusOf(process, "/readyz") == 200
                     && sendRequestToProcess(
                            process, request("again-" + std::to_string(++recoveryRequests_), "GET", "/read/again"))
@@ -415,6 +422,7 @@
         }
     }
 
+    const std::size_t nodeCount_ = numberFrom("GERANIUM_SOAK_NODES", 3);
     const std::vector<std::string> streamFaults_ {
         "cut=2", "cut=2 hard", "short=2", "unframed", "unframed cut=2", "unframed cut=2 hard", "unframed stop=0",
         "reset", "fail",       "full",    "junk"
@@ -429,19 +437,14 @@
     SteadyTime revokedAt_;
     std::uint64_t recoveryRequests_ = 0;
     std::vector<std::string> serverStates_ = std::vector<std::string>(names_.size(), "ready");
-    std::vector<int> starts_ = std::vector<int>(Nodes, 1);
+    std::vector<int> starts_ = std::vector<int>(nodeCount_, 1);
     std::vector<LeavingSeen> leavingSeen_;
+    SteadyTime nextHeartbeat_;
     std::vector<std::unique_ptr<FaultProxy>> storeLinks_;
     std::vector<std::unique_ptr<FaultProxy>> serverLinks_;
     std::set<std::size_t> brokenServerLinks_;
 };
 
-std::uint64_t numberFrom(const char *variable, std::uint64_t fallback)
-{
-    const char *text = std::getenv(variable);
-    return text == nullptr ? fallback : std::stoull(text);
-}
-
 class RelaySoakTest : public RelaySoak, public testing::WithParamInterface<std::uint64_t>
 {
 };
@@ -462,7 +465,7 @@
                          RelaySoakTest,
                          testing::Range<std::uint64_t>(numberFrom("GERANIUM_SOAK_FIRST", 1),
                                                        numberFrom("GERANIUM_SOAK_FIRST", 1)
-                                                           + numberFrom("GERANIUM_SOAK_SEEDS", 2)));
+                                                           + numberFrom("GERANIUM_SOAK_SEEDS", 10)));
 
 } // namespace
 } // namespace GeraniumLever
