Give each test process ports of its own, free for datagrams too

The tests drew ports at random from one range, checked them for TCP only, and did not bind them until the relay started, while other tests did the same beside them. That this was the cause is likely, not shown: the relays' output was not kept.

Change: each test process draws from a block of 256 ports by its process number, in turn, and takes a port only if it is free for streams and datagrams.

--- a/tests/drivers/http/raw_listener.cpp
+++ b/tests/drivers/http/raw_listener.cpp
@@ -1,8 +1,10 @@
 #include "tests/drivers/http/raw_listener.h"
 
-#include <random>
 #include <utility>
 
+#include <boost/asio/ip/udp.hpp>
+#include <unistd.h>
+
 namespace GeraniumLever {
 
 namespace {
@@ -32,15 +34,24 @@
 std::uint16_t unusedPort(boost::asio::io_context &context)
 {
     // Below the range from which the system picks the ports of outgoing connections, so that none of them takes it.
-    std::uniform_int_distribution<std::uint16_t> ports(10240, 32767);
-    std::random_device random;
+    // Each process has a block of its own, since tests that run side by side could pick one port before either binds
+    // it.
+    constexpr int FirstPort = 10240;
+    constexpr int BlockSize = 256;
+    constexpr int Blocks = 88;
+    static int picked = 0;
+    const int block = FirstPort + ::getpid() % Blocks * BlockSize;
     while (true) {
-        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), ports(random));
-        boost::asio::ip::tcp::acceptor probe(context, endpoint.protocol());
-        boost::system::error_code error;
-        probe.bind(endpoint, error);
-        if (!error) {
-            return endpoint.port();
+        const std::uint16_t port = static_cast<std::uint16_t>(block + picked++ % BlockSize);
+        const boost::asio::ip::address_v4 loopback = boost::asio::ip::address_v4::loopback();
+        boost::asio::ip::tcp::acceptor stream(context, boost::asio::ip::tcp::v4());
+        boost::asio::ip::udp::socket datagrams(context, boost::asio::ip::udp::v4());
+        boost::system::error_code streamError;
+        boost::system::error_code datagramError;
+        stream.bind({ loopback, port }, streamError);
+        datagrams.bind({ loopback, port }, datagramError);
+        if (!streamError && !datagramError) {
+            return port;
         }
     }
 }
