Keep the requests of all nodes within the limits that upstreams name

Cause: no node read the field in which a server names its limit.

Change: answers are read for a limit. UpstreamLimits merges what this node and others heard, by the time on the store's clock between sending and answer, and floods changes to peers. Each limit is a sequence of numbered slots on that clock, which the registered nodes own in turn, so no message and no delay is added to a request and the limit holds through cuts, restarts and the store's absence. Placement treats an upstream without a permit like one that pauses; where all upstreams are limited, LimitedAdmission leaves permits to more urgent tiers and to teams that were served less, and the rest are refused at once.

--- a/core/result_code.cpp
+++ b/core/result_code.cpp
@@ -43,6 +43,7 @@
     { ResultCode::StreamOriginUnknown, "stream_origin_unknown", 503 },
     { ResultCode::UpstreamPaused, "upstream_paused", 503 },
     { ResultCode::PromptQuarantined, "prompt_quarantined", 503 },
+    { ResultCode::UpstreamLimited, "upstream_limited", 503 },
     { ResultCode::UpstreamLost, "upstream_lost", 502 },
     { ResultCode::UpstreamRefused, "upstream_refused", 502 },
     { ResultCode::UpstreamTimeout, "upstream_timeout", 504 },
--- a/core/result_code.h
+++ b/core/result_code.h
@@ -39,6 +39,7 @@
     StreamOriginUnknown = 209,
     UpstreamPaused = 210,
     PromptQuarantined = 211,
+    UpstreamLimited = 212,
 
     UpstreamLost = 300,
     UpstreamRefused = 301,
--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -169,7 +169,8 @@
 {
     return "HTTP/1.1 " + std::to_string(status) + " X\r\nRequest-Id: " + requestId + "\r\nInstance-Id: " + settings_.id
         + "\r\nServer-Load: " + std::to_string(running_) + ",0," + std::to_string(settings_.slots) + "\r\n"
-        + (leaving || leaving_ ? "Server-Leaving: 1\r\n" : "") + fields;
+        + (leaving || leaving_ ? "Server-Leaving: 1\r\n" : "")
+        + (limit_.empty() ? "" : "Server-Limit: " + limit_ + "\r\n") + fields;
 }
 
 void ServerStandIn::handle(const std::shared_ptr<RawSession> &session, const RawSession::Request &request)
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -103,6 +103,9 @@
     /** States in all further answers that the server is leaving; it goes on serving. */
     void leave() { leaving_ = true; }
 
+    /** States this limit of requests a second in all further answers; empty: none. */
+    void limit(const std::string &perSecond) { limit_ = perSecond; }
+
     /** Turns all further requests away with this text as the time for which it wants none; empty: serves again. */
     void pause(const std::string &seconds) { pause_ = seconds; }
 
@@ -156,6 +159,7 @@
     bool leaving_ = false;
     bool crashed_ = false;
     std::string pause_;
+    std::string limit_;
     RawServer server_;
 };
 
--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -80,6 +80,20 @@
     return report;
 }
 
+LimitReport readLimits(PeerWire::LimitReport::Reader reader)
+{
+    LimitReport report;
+    report.node = NodeName(textOf(reader.getNode()));
+    for (const PeerWire::LimitStatement::Reader item : reader.getStatements()) {
+        const double rate = item.getRate();
+        report.statements.push_back({ UpstreamName(textOf(item.getUpstream())),
+                                      rate >= 0.0 ? std::optional<double>(rate) : std::nullopt,
+                                      FleetTime(Duration(item.getSentAt())),
+                                      FleetTime(Duration(item.getHeardAt())) });
+    }
+    return report;
+}
+
 std::optional<PeerDatagram> readMessage(PeerWire::Datagram::Reader reader)
 {
     switch (reader.which()) {
@@ -120,6 +134,8 @@
     }
     case PeerWire::Datagram::CRASHES:
         return readCrashes(reader.getCrashes());
+    case PeerWire::Datagram::LIMITS:
+        return readLimits(reader.getLimits());
     }
     return std::nullopt;
 }
@@ -244,6 +260,23 @@
     }
 }
 
+void write(const LimitReport &report, PeerWire::Datagram::Builder datagram)
+{
+    constexpr double NoRate = -1.0;
+    PeerWire::LimitReport::Builder builder = datagram.initLimits();
+    builder.setNode(pointerTo(report.node.text()));
+    capnp::List<PeerWire::LimitStatement>::Builder statements =
+        builder.initStatements(static_cast<unsigned>(report.statements.size()));
+    unsigned index = 0;
+    for (const LimitStatement &item : report.statements) {
+        PeerWire::LimitStatement::Builder target = statements[index++];
+        target.setUpstream(pointerTo(item.upstream.text()));
+        target.setRate(item.rate.value_or(NoRate));
+        target.setSentAt(item.sentAt.time_since_epoch().count());
+        target.setHeardAt(item.heardAt.time_since_epoch().count());
+    }
+}
+
 } // namespace
 
 std::string encodePeerDatagram(const PeerDatagram &message)
--- a/drivers/peers/peer_codec.h
+++ b/drivers/peers/peer_codec.h
@@ -12,7 +12,7 @@
 
 /** Any message between relays. */
 using PeerDatagram =
-    std::variant<PeerReport, WorkReport, WorkTotals, StreamRecord, StreamQuery, StreamReply, CrashReport>;
+    std::variant<PeerReport, WorkReport, WorkTotals, StreamRecord, StreamQuery, StreamReply, CrashReport, LimitReport>;
 
 std::string encodePeerDatagram(const PeerDatagram &message);
 
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -15,6 +15,7 @@
     streamQuery @4 :StreamQuery;
     streamReply @5 :StreamReply;
     crashes @6 :CrashReport;
+    limits @7 :LimitReport;
   }
 }
 
@@ -107,3 +108,17 @@
   node @0 :Text;
   suspects @1 :List(SuspectReport);
 }
+
+struct LimitStatement {
+  upstream @0 :Text;
+  # Negative if the upstream does not limit its requests.
+  rate @1 :Float64;
+  # On the store's clock.
+  sentAt @2 :Int64;
+  heardAt @3 :Int64;
+}
+
+struct LimitReport {
+  node @0 :Text;
+  statements @1 :List(LimitStatement);
+}
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -86,6 +86,11 @@
     link_.send(message.address, message.report);
 }
 
+void PeerExchange::send(const OutgoingLimitReport &message)
+{
+    link_.send(message.address, message.report);
+}
+
 void PeerExchange::registerNode()
 {
     registering_ = true;
@@ -160,11 +165,15 @@
 void PeerExchange::sendReportsOnce()
 {
     const std::optional<CrashReport> crashes = system_.crashReport(clock_.now());
+    const std::optional<LimitReport> limits = system_.limitReport(clock_.now());
     for (const PeerNode &peer : system_.fleet().peers().targets()) {
         link_.send(peer.address, system_.reportFor(peer.node, clock_.now()));
         if (crashes.has_value()) {
             link_.send(peer.address, *crashes);
         }
+        if (limits.has_value()) {
+            link_.send(peer.address, *limits);
+        }
     }
 }
 
@@ -218,6 +227,10 @@
         if (crashes.has_value()) {
             link_.send(peer.address, *crashes);
         }
+        const std::optional<LimitReport> limits = system_.limitReport(clock_.now());
+        if (limits.has_value()) {
+            link_.send(peer.address, *limits);
+        }
     }
 }
 
@@ -249,6 +262,11 @@
     system_.crashReportReceived(report, clock_.now());
 }
 
+void PeerExchange::handle(const PeerNode &, const LimitReport &report)
+{
+    observer_.limitReportReceived(report);
+}
+
 void PeerExchange::handle(const PeerNode &, const StreamReply &reply)
 {
     observer_.streamReplyReceived(reply);
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -17,6 +17,7 @@
     virtual void nodesRead(const StoredNodes &nodes, TimePoint asOf) = 0;
     virtual void peerReportReceived(const PeerReport &report) = 0;
     virtual void streamReplyReceived(const StreamReply &reply) = 0;
+    virtual void limitReportReceived(const LimitReport &report) = 0;
 };
 
 /** Registers the node in the store, discovers the other relays there, and sends and receives reports. */
@@ -39,6 +40,7 @@
 
     void send(const OutgoingStreamMessage &message);
     void send(const OutgoingCrashReport &message);
+    void send(const OutgoingLimitReport &message);
 
 private:
     void registerNode();
@@ -59,6 +61,7 @@
     void handle(const PeerNode &peer, const StreamQuery &query);
     void handle(const PeerNode &peer, const StreamReply &reply);
     void handle(const PeerNode &peer, const CrashReport &report);
+    void handle(const PeerNode &peer, const LimitReport &report);
 
     PeerNode self_;
     PlatformStore &store_;
--- a/main/relay/relay_metrics.cpp
+++ b/main/relay/relay_metrics.cpp
@@ -22,6 +22,9 @@
                                       "Prompt parts that are kept from upstreams because they crash them." };
 const MetricFamily suspectedParts { "geranium_relay_suspected_parts",
                                     "Prompt parts under which an upstream has crashed since they were last answered." };
+const MetricFamily limitedUpstreams { "geranium_relay_limited_upstreams", "Upstreams that limit their requests." };
+const MetricFamily limitedRequests { "geranium_relay_limited_requests",
+                                     "Requests sent to upstreams that limit them, since the start of the node." };
 const MetricFamily droppedLines { "geranium_relay_dropped_log_lines", "Log lines that a slow reader made drop." };
 
 } // namespace
@@ -67,6 +70,8 @@
     registry_.gauge(upstreams).set(static_cast<double>(system.fleet().directory().entries().size()));
     registry_.gauge(quarantinedParts).set(static_cast<double>(system.quarantine().size()));
     registry_.gauge(suspectedParts).set(static_cast<double>(system.quarantine().suspects()));
+    registry_.gauge(limitedUpstreams).set(static_cast<double>(system.fleet().limits().size()));
+    registry_.gauge(limitedRequests).set(static_cast<double>(system.fleet().limits().sent()));
     registry_.gauge(droppedLines).set(static_cast<double>(droppedLogLines));
     return registry_.render();
 }
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -225,6 +225,11 @@
         perform([&](RelayCommands &commands) { system.streamReplyReceived(reply, clock.now(), commands); });
     }
 
+    void limitReportReceived(const LimitReport &report) override
+    {
+        perform([&](RelayCommands &commands) { system.limitReportReceived(report, clock.now(), commands); });
+    }
+
     // Execution of commands
 
     template<typename Step>
@@ -304,6 +309,8 @@
 
     void run(const OutgoingCrashReport &message) { peerExchange.send(message); }
 
+    void run(const OutgoingLimitReport &message) { peerExchange.send(message); }
+
     void run(const Decision &decision)
     {
         metrics.record(decision);
--- a/servers/relay/fleet_state.cpp
+++ b/servers/relay/fleet_state.cpp
@@ -7,13 +7,16 @@
 namespace GeraniumLever {
 
 FleetState::FleetState(NodeName self, std::uint64_t incarnation, Duration upstreamHeartbeat)
-    : self_(std::move(self)), incarnation_(incarnation), peers_(self_)
+    : self_(std::move(self)), incarnation_(incarnation), peers_(self_), limits_(self_)
 {
     directory_.setHeartbeat(upstreamHeartbeat);
 }
 
 void FleetState::noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands)
 {
+    if (state.clock.has_value()) {
+        limits_.noteStoreClock(*state.clock, now);
+    }
     if (storeEras_.note(state, now)) {
         commands.emplace_back(recordStoreEra(storeEras_, now));
     }
@@ -40,6 +43,7 @@
     noteStoreState(stored.state, now, commands);
     DirectoryChanges changes = directory_.update(stored, storeEras_, asOf, now);
     poolVersions_.update(directory_.entries(), asOf);
+    limits_.updateUpstreams(directory_.entries(), now);
     for (const UpstreamName &name : notices_.update(directory_.entries(), now)) {
         commands.emplace_back(recordCarriedNotice(name));
     }
@@ -65,6 +69,7 @@
         return false;
     }
     peers_.updateNodes(nodes_.nodes());
+    limits_.updateNodes(nodes_);
     return true;
 }
 
--- a/servers/relay/fleet_state.h
+++ b/servers/relay/fleet_state.h
@@ -3,6 +3,7 @@
 
 #include "servers/relay/node_registry.h"
 #include "servers/relay/relay_messages.h"
+#include "servers/relay/upstream_limits.h"
 
 namespace GeraniumLever {
 
@@ -56,6 +57,8 @@
     const PoolVersions &poolVersions() const { return poolVersions_; }
     const NodeRegistry &nodes() const { return nodes_; }
     const PeerView &peers() const { return peers_; }
+    const UpstreamLimits &limits() const { return limits_; }
+    UpstreamLimits &limits() { return limits_; }
 
 private:
     void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
@@ -69,6 +72,7 @@
     PoolVersions poolVersions_;
     NodeRegistry nodes_;
     PeerView peers_;
+    UpstreamLimits limits_;
     std::uint64_t lastReportSequence_ = 0;
 };
 
--- /dev/null
+++ b/servers/relay/placement_query.cpp
@@ -0,0 +1,25 @@
+#include "servers/relay/placement_query.h"
+
+#include "servers/relay/engine_partitioner.h"
+
+namespace GeraniumLever {
+
+PlacementQuery placementQueryOf(const RelayRow &row)
+{
+    PlacementQuery query;
+    query.pool = row.pool;
+    if (row.traits != nullptr) {
+        query.engine = row.traits->engines;
+        query.maxConnections = row.traits->maxConnections;
+        query.kvCacheTokens = row.traits->kvCacheTokens;
+    }
+    query.sharesPrefixes = row.route->sharesPrefixes;
+    query.target = row.route->target;
+    query.tokenGapTarget = tokenGapTargetOf(*row.route);
+    query.prompt = row.request.prompt;
+    query.version = row.streamVersion;
+    query.excluded = row.failedUpstreams;
+    return query;
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/servers/relay/placement_query.h
@@ -0,0 +1,39 @@
+/** What the selection of an upstream needs to know about a request. */
+#pragma once
+
+#include <optional>
+#include <set>
+
+#include "servers/relay/relay_row.h"
+
+namespace GeraniumLever {
+
+/** Inputs of the selection. */
+struct PlacementQuery
+{
+    PoolName pool;
+    bool engine = false;
+    bool sharesPrefixes = false;
+    /** Connections that one upstream accepts from all nodes together; 0 if no limit is set. */
+    std::uint32_t maxConnections = 0;
+    /** Tokens that fit in one engine's KV cache; 0 if not stated. */
+    std::uint64_t kvCacheTokens = 0;
+    /** Target time to the first part of the response. */
+    Duration target { 0 };
+    /** Target for the longest gap between two parts of the response. */
+    Duration tokenGapTarget { 0 };
+    PromptInfo prompt;
+    /** The only software version that may serve the request; absent if any may. */
+    std::optional<std::string> version;
+    /** Upstreams that must not be selected because an attempt there has failed. */
+    std::set<UpstreamName> excluded;
+
+    bool accepts(const std::string &upstreamVersion) const
+    {
+        return version.value_or(upstreamVersion) == upstreamVersion;
+    }
+};
+
+PlacementQuery placementQueryOf(const RelayRow &row);
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -9,6 +9,7 @@
 
 #include "core/core.h"
 #include "servers/relay/crash_reports.h"
+#include "servers/relay/limit_reports.h"
 #include "servers/relay/stream_messages.h"
 
 namespace GeraniumLever {
@@ -105,6 +106,8 @@
     /** True if an earlier exchange has used the connection. */
     bool connectionReused = false;
     std::optional<ReportedLoad> load;
+    /** Requests per second that the upstream takes from all nodes together; absent if it does not limit them. */
+    std::optional<double> requestLimit;
 
     auto operator<=>(const RelayResponseHead &) const = default;
 };
@@ -232,6 +235,7 @@
                                   RelayAbort,
                                   OutgoingStreamMessage,
                                   OutgoingCrashReport,
+                                  OutgoingLimitReport,
                                   Decision>;
 
 /** In the order in which they must be executed. */
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -117,6 +117,8 @@
     bool hasRoom = true;
     /** False if the free seats are reserved for other nodes. */
     bool mayTakeSeat = true;
+    /** True if it limits its requests and this node may send one now. */
+    bool isLimited = false;
 };
 
 void RelayPlacement::applyChanges(const UpstreamDirectory &directory, const DirectoryChanges &changes)
@@ -145,6 +147,10 @@
         }
         Candidate candidate;
         candidate.entry = &entry;
+        candidate.isLimited = limits_.isLimited(name);
+        if (candidate.isLimited && limits_.permits(name, now).count == 0) {
+            continue;
+        }
         candidate.hasVersion = query.accepts(entry.version);
         const UpstreamLoad *upstreamLoad = find(name);
         candidate.load = upstreamLoad == nullptr ? 0.0 : upstreamLoad->requests(now);
@@ -185,8 +191,7 @@
 {
     return std::any_of(directory.entries().begin(), directory.entries().end(), [&](const auto &item) {
         const auto &[name, entry] = item;
-        return notices_.acceptsRequests(entry) && entry.pool == query.pool && query.accepts(entry.version)
-            && query.excluded.count(name) == 0;
+        return mayServe(entry, query) && query.excluded.count(name) == 0;
     });
 }
 
@@ -196,7 +201,7 @@
 {
     std::optional<TimePoint> earliest;
     for (const auto &[name, entry] : directory.entries()) {
-        if (!notices_.acceptsRequests(entry) || entry.pool != query.pool || !query.accepts(entry.version)) {
+        if (!mayServe(entry, query)) {
             continue;
         }
         const TimePoint until = notices_.pausedUntil(entry);
@@ -208,6 +213,57 @@
     return earliest;
 }
 
+bool RelayPlacement::mayServe(const UpstreamEntry &entry, const PlacementQuery &query) const
+{
+    return notices_.acceptsRequests(entry) && entry.pool == query.pool && query.accepts(entry.version);
+}
+
+std::optional<ResultCode> RelayPlacement::blockedUntil(const UpstreamDirectory &directory,
+                                                       const PlacementQuery &query,
+                                                       TimePoint until,
+                                                       std::size_t ahead,
+                                                       TimePoint now) const
+{
+    std::optional<ResultCode> cause;
+    std::size_t permitted = 0;
+    for (const auto &[name, entry] : directory.entries()) {
+        if (!mayServe(entry, query)) {
+            continue;
+        }
+        if (notices_.pausedUntil(entry) > until) {
+            cause = cause.value_or(ResultCode::UpstreamPaused);
+            continue;
+        }
+        if (!limits_.isLimited(name)) {
+            return std::nullopt;
+        }
+        cause = ResultCode::UpstreamLimited;
+        permitted += limits_.permitsUntil(name, until, now);
+    }
+    return permitted > ahead ? std::nullopt : cause;
+}
+
+std::optional<RequestPermits> RelayPlacement::permits(const UpstreamDirectory &directory,
+                                                      const PlacementQuery &query,
+                                                      TimePoint now) const
+{
+    RequestPermits sum;
+    bool isLimited = false;
+    for (const auto &[name, entry] : directory.entries()) {
+        if (!mayServe(entry, query)) {
+            continue;
+        }
+        if (!limits_.isLimited(name)) {
+            return std::nullopt;
+        }
+        isLimited = true;
+        const RequestPermits permits = limits_.permits(name, now);
+        sum.count += permits.count;
+        sum.remaining = std::max(sum.remaining, permits.remaining);
+    }
+    return isLimited ? std::optional<RequestPermits>(sum) : std::nullopt;
+}
+
 std::optional<Placement> RelayPlacement::choose(const UpstreamDirectory &directory,
                                                 const PlacementQuery &query,
                                                 TimePoint now)
@@ -222,7 +278,12 @@
         return std::nullopt;
     }
     const Candidate *best = nullptr;
-    if (query.engine && query.sharesPrefixes && sharedPrefixKey(query.prompt) != 0) {
+    const auto unconfirmed = std::find_if(eligible.begin(), eligible.end(), [&](const Candidate &candidate) {
+        return candidate.isLimited && limits_.needsConfirmation(candidate.entry->name, now);
+    });
+    if (unconfirmed != eligible.end()) {
+        best = &*unconfirmed;
+    } else if (query.engine && query.sharesPrefixes && sharedPrefixKey(query.prompt) != 0) {
         best = firstSuitable(eligible, query);
     } else {
         best = &*std::min_element(
@@ -239,6 +300,10 @@
     placement.loadAge = upstreamLoad == nullptr ? std::nullopt : upstreamLoad->age(now);
     placement.unreadTokens = static_cast<std::uint32_t>(best->unreadTokens);
     placement.byPrefix = best->score != 0 && best->rank == 0;
+    if (best->isLimited) {
+        placement.limit = limits_.rate(best->entry->name);
+        placement.limitAge = limits_.age(best->entry->name, now);
+    }
     return placement;
 }
 
@@ -303,14 +368,18 @@
         std::vector<UpstreamName> engines;
         engines.reserve(eligible.size());
         for (const Candidate &candidate : eligible) {
-            engines.push_back(candidate.entry->name);
+            if (!candidate.isLimited) {
+                engines.push_back(candidate.entry->name);
+            }
         }
         partition = partitioners_[query.pool].enginesFor(query.pool, query.tokenGapTarget, std::move(engines), now);
     }
     // Only now, because the size of a partition must not depend on the version that a single request needs.
     std::erase_if(eligible, [](const Candidate &candidate) { return !candidate.hasVersion; });
+    // An engine that limits its requests belongs to no partition, since it appears and disappears with each permit.
     const auto isInPartition = [&partition](const Candidate &candidate) {
-        return std::find(partition.engines.begin(), partition.engines.end(), candidate.entry->name)
+        return candidate.isLimited
+            || std::find(partition.engines.begin(), partition.engines.end(), candidate.entry->name)
             != partition.engines.end();
     };
     const bool partitionHasRoom =
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -5,38 +5,13 @@
 #include <set>
 
 #include "servers/relay/engine_partitioner.h"
-#include "servers/relay/peer_view.h"
+#include "servers/relay/fleet_state.h"
+#include "servers/relay/placement_query.h"
 #include "servers/relay/upstream_load.h"
 #include "servers/routing/routing.h"
 
 namespace GeraniumLever {
 
-/** Inputs of the selection. */
-struct PlacementQuery
-{
-    PoolName pool;
-    bool engine = false;
-    bool sharesPrefixes = false;
-    /** Connections that one upstream accepts from all nodes together; 0 if no limit is set. */
-    std::uint32_t maxConnections = 0;
-    /** Tokens that fit in one engine's KV cache; 0 if not stated. */
-    std::uint64_t kvCacheTokens = 0;
-    /** Target time to the first part of the response. */
-    Duration target { 0 };
-    /** Target for the longest gap between two parts of the response. */
-    Duration tokenGapTarget { 0 };
-    PromptInfo prompt;
-    /** The only software version that may serve the request; absent if any may. */
-    std::optional<std::string> version;
-    /** Upstreams that must not be selected because an attempt there has failed. */
-    std::set<UpstreamName> excluded;
-
-    bool accepts(const std::string &upstreamVersion) const
-    {
-        return version.value_or(upstreamVersion) == upstreamVersion;
-    }
-};
-
 /** The selected upstream and the facts behind the selection. */
 struct Placement
 {
@@ -51,6 +26,10 @@
     std::uint32_t unreadTokens = 0;
     /** True if the upstream was the first choice for the prompt's shared prefix. */
     bool byPrefix = false;
+    /** Limit of the upstream's requests per second, and the time since an answer last stated it; absent if it has none.
+     */
+    std::optional<double> limit;
+    Duration limitAge { 0 };
 };
 
 /** Prefix-aware load balancing that withstands bursts. Each shared prompt prefix defines an order of engines by
@@ -62,9 +41,13 @@
 class RelayPlacement
 {
 public:
-    /** peers, notices: must outlive the placement. */
-    RelayPlacement(DataCenterName dataCenter, const PeerView &peers, const UpstreamNotices &notices, std::uint64_t seed)
-        : dataCenter_(std::move(dataCenter)), peers_(peers), notices_(notices), random_(seed)
+    /** fleet: must outlive the placement. */
+    RelayPlacement(DataCenterName dataCenter, const FleetState &fleet, std::uint64_t seed)
+        : dataCenter_(std::move(dataCenter))
+        , peers_(fleet.peers())
+        , notices_(fleet.notices())
+        , limits_(fleet.limits())
+        , random_(seed)
     {
     }
 
@@ -79,6 +62,20 @@
                                          const PlacementQuery &query,
                                          TimePoint now) const;
 
+    /** Why no upstream will accept the request by some time: all that may serve it have asked for a pause, or limit
+     *  their requests. ahead: requests that are sent before it. Absent if one may accept it. */
+    std::optional<ResultCode> blockedUntil(const UpstreamDirectory &directory,
+                                           const PlacementQuery &query,
+                                           TimePoint until,
+                                           std::size_t ahead,
+                                           TimePoint now) const;
+
+    /** This node's permits for all upstreams that may serve the request; absent unless all of them limit their
+     *  requests. */
+    std::optional<RequestPermits> permits(const UpstreamDirectory &directory,
+                                          const PlacementQuery &query,
+                                          TimePoint now) const;
+
     /** The best upstream with free capacity; absent if there is none. */
     std::optional<Placement> choose(const UpstreamDirectory &directory, const PlacementQuery &query, TimePoint now);
 
@@ -119,6 +116,7 @@
                                       const PlacementQuery &query,
                                       TimePoint now) const;
     const UpstreamLoad *find(const UpstreamName &name) const;
+    bool mayServe(const UpstreamEntry &entry, const PlacementQuery &query) const;
     /** The first engine in order that is expected to answer in time; nullptr if the request should wait for one of its
      *  preferred engines. */
     static const Candidate *firstSuitable(const std::vector<Candidate> &eligible, const PlacementQuery &query);
@@ -133,6 +131,7 @@
     DataCenterName dataCenter_;
     const PeerView &peers_;
     const UpstreamNotices &notices_;
+    const UpstreamLimits &limits_;
     RandomSource random_;
     std::map<PoolName, EnginePartitioner> partitioners_;
     std::map<UpstreamName, UpstreamLoad> loads_;
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -109,6 +109,20 @@
     return decision;
 }
 
+Decision recordLimit(const LimitChange &change)
+{
+    const auto text = [](const std::optional<double> &rate) {
+        return rate.has_value() ? std::to_string(*rate) : std::string("none");
+    };
+    Decision decision { "limit", {} };
+    decision.fields.emplace_back("upstream", change.upstream.text());
+    decision.fields.emplace_back("per_second", text(change.rate));
+    decision.fields.emplace_back("before", text(change.before));
+    decision.fields.emplace_back("age_ms", milliseconds(change.age));
+    decision.fields.emplace_back("from", change.source.text());
+    return decision;
+}
+
 Decision recordQuarantine(const QuarantineChange &change)
 {
     constexpr int Hexadecimal = 16;
@@ -157,6 +171,10 @@
     decision.fields.emplace_back("load_age_ms",
                                  placement.loadAge.has_value() ? milliseconds(*placement.loadAge) : "none");
     decision.fields.emplace_back("by_prefix", placement.byPrefix ? "true" : "false");
+    if (placement.limit.has_value()) {
+        decision.fields.emplace_back("limit", std::to_string(*placement.limit));
+        decision.fields.emplace_back("limit_age_ms", milliseconds(placement.limitAge));
+    }
     decision.fields.emplace_back("attempt", std::to_string(row.attempts));
     decision.fields.emplace_back("wait_ms", milliseconds(now - row.arrivedAt));
     return decision;
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -24,6 +24,9 @@
 /** What the upstream stated before its new incarnation was registered now holds for that one. */
 Decision recordCarriedNotice(const UpstreamName &upstream);
 
+/** The limit of an upstream has become known, has changed or has ended. */
+Decision recordLimit(const LimitChange &change);
+
 /** A prompt part was quarantined, or released. */
 Decision recordQuarantine(const QuarantineChange &change);
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -41,31 +41,14 @@
 /** If no event arrives for this many gap targets, a resumable stream is resumed at another upstream. */
 constexpr int StallTimeoutGaps = 4;
 
-PlacementQuery placementQueryOf(const RelayRow &row)
-{
-    PlacementQuery query;
-    query.pool = row.pool;
-    if (row.traits != nullptr) {
-        query.engine = row.traits->engines;
-        query.maxConnections = row.traits->maxConnections;
-        query.kvCacheTokens = row.traits->kvCacheTokens;
-    }
-    query.sharesPrefixes = row.route->sharesPrefixes;
-    query.target = row.route->target;
-    query.tokenGapTarget = tokenGapTargetOf(*row.route);
-    query.prompt = row.request.prompt;
-    query.version = row.streamVersion;
-    query.excluded = row.failedUpstreams;
-    return query;
-}
-
 } // namespace
 
 RelaySystem::RelaySystem(RelaySystemSettings settings)
     : settings_(std::move(settings))
     , fleet_(settings_.node, settings_.origin, settings_.upstreamHeartbeat)
     , workExchange_(settings_.node, settings_.dataCenter, settings_.origin)
-    , placement_(settings_.dataCenter, fleet_.peers(), fleet_.notices(), settings_.seed + 2)
+    , placement_(settings_.dataCenter, fleet_, settings_.seed + 2)
+    , limits_(settings_.node, fleet_, placement_)
     , origins_(settings_.node, settings_.dataCenter)
     , quarantine_(settings_.seed + 3)
     , random_(settings_.seed + 1)
@@ -200,6 +183,7 @@
 {
     row.queueKey = { row.pool, placement_.usesOwnQueue(placementQueryOf(row), now) };
     budgetOf(row.pool).noteRequest(now);
+    limits_.requestArrived(row, now);
     place(row, now, commands);
 }
 
@@ -249,6 +233,9 @@
 bool RelaySystem::tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     const PlacementQuery query = placementQueryOf(row);
+    if (!limits_.admits(row, query, now)) {
+        return false;
+    }
     const std::optional<Placement> placement = placement_.choose(fleet_.directory(), query, now);
     if (!placement.has_value()) {
         return false;
@@ -272,6 +259,7 @@
     placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens);
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
     quarantine_.noteSent(row.request.prompt, now);
+    limits_.requestSent(row, now);
 
     commands.emplace_back(recordDispatch(row, placement, now));
     RelayDispatch command;
@@ -316,8 +304,10 @@
         return;
     }
     const TimePoint waitUntil = std::min(row.deadline, now + maxWait);
-    if (isPausedBeyond(row, waitUntil, now)) {
-        giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::UpstreamPaused, now, commands);
+    const std::optional<ResultCode> blocked =
+        placement_.blockedUntil(fleet_.directory(), placementQueryOf(row), waitUntil, ahead, now);
+    if (blocked.has_value()) {
+        giveUp(row, row.mayHaveRun ? row.lastFailure : *blocked, now, commands);
         return;
     }
     row.phase = RelayPhase::Waiting;
@@ -331,17 +321,12 @@
     commands.emplace_back(recordWait(row, ahead, utilization.value_or(0.0)));
 }
 
-bool RelaySystem::isPausedBeyond(const RelayRow &row, TimePoint time, TimePoint now) const
-{
-    const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(fleet_.directory(), placementQueryOf(row), now);
-    return pausedUntil.has_value() && *pausedUntil > time;
-}
-
 void RelaySystem::refusePaused(const PoolName &pool, TimePoint now, RelayCommands &commands)
 {
     std::vector<RequestId> paused;
     for (const auto &[request, row] : rows_) {
-        if (row.phase == RelayPhase::Waiting && row.pool == pool && isPausedBeyond(row, row.waitUntil, now)) {
+        if (row.phase == RelayPhase::Waiting && row.pool == pool
+            && placement_.blockedUntil(fleet_.directory(), placementQueryOf(row), row.waitUntil, 0, now)) {
             paused.push_back(request);
         }
     }
@@ -501,6 +486,7 @@
     if (row == nullptr) {
         return;
     }
+    limits_.answered(row->upstream.name, head.requestLimit, row->dispatchedAt, now, commands);
     UpstreamLoad &load = placement_.load(row->upstream.name);
     if (head.load.has_value()) {
         load.updateReported(*head.load, now);
@@ -670,7 +656,7 @@
     }
     const bool isQuarantined = code == ResultCode::PromptQuarantined;
     const Duration retryAfter =
-        isQuarantined ? quarantine_.blockedFor(row.request.prompt, now) : retryAfterOf(row, now);
+        isQuarantined ? quarantine_.blockedFor(row.request.prompt, now) : retryAfterOf(row, code, now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
     commands.emplace_back(RelayRefusal {
@@ -681,9 +667,12 @@
         Outcome::NotRun });
 }
 
-Duration RelaySystem::retryAfterOf(const RelayRow &row, TimePoint now)
+Duration RelaySystem::retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now)
 {
     const Duration timeLeft = row.deadline - now;
+    if (code == ResultCode::UpstreamLimited) {
+        return retryAfterEstimatorOf(row).spread(timeLeft);
+    }
     const std::size_t ahead = queues_[row.queueKey].maxAhead(row.tier);
     const Duration estimate = retryAfterEstimatorOf(row).retryAfter(ahead, timeLeft);
     const std::optional<TimePoint> pausedUntil = placement_.pausedUntil(fleet_.directory(), placementQueryOf(row), now);
@@ -738,6 +727,7 @@
     origins_.expire(now);
     quarantine_.expire(now);
     shareCrashReports(now, commands);
+    limits_.tick(now, commands);
     for (RelayProbe &probe : placement_.startDueProbes(fleet_.directory(), now)) {
         commands.emplace_back(std::move(probe));
     }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "servers/relay/fleet_state.h"
+#include "servers/relay/limit_system.h"
 #include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_admission.h"
 #include "servers/relay/relay_placement.h"
@@ -85,6 +86,15 @@
 
     const PromptQuarantine &quarantine() const { return quarantine_; }
 
+    /** Handles what another relay knows about the limits of upstreams. */
+    void limitReportReceived(const LimitReport &report, TimePoint now, RelayCommands &commands)
+    {
+        limits_.reportReceived(report, now, commands);
+    }
+
+    /** What to tell other relays about the limits of upstreams once a second; absent if there is nothing to tell. */
+    std::optional<LimitReport> limitReport(TimePoint now) { return limits_.report(now); }
+
     /** Rejects all new requests from now on, because the node shuts down before it could answer them. */
     void startDraining() { draining_ = true; }
 
@@ -144,8 +154,6 @@
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
     void dispatch(RelayRow &row, const Placement &placement, TimePoint now, RelayCommands &commands);
     void enqueue(RelayRow &row, TimePoint now, RelayCommands &commands);
-    /** True if all upstreams that may serve the request have asked for a pause that ends after this time. */
-    bool isPausedBeyond(const RelayRow &row, TimePoint time, TimePoint now) const;
     /** Gives up the waiting requests of the pool that no upstream will accept in time. */
     void refusePaused(const PoolName &pool, TimePoint now, RelayCommands &commands);
     /** Removes the request from its queue. */
@@ -159,7 +167,7 @@
     bool mayRetry(const RelayRow &row, TimePoint now);
     void giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands);
     /** Time after which the caller of a refused request should come back. */
-    Duration retryAfterOf(const RelayRow &row, TimePoint now);
+    Duration retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
@@ -169,6 +177,7 @@
     FleetState fleet_;
     WorkExchange workExchange_;
     RelayPlacement placement_;
+    LimitSystem limits_;
     StreamOrigins origins_;
     PromptQuarantine quarantine_;
     UnconfirmedAnswers unconfirmedAnswers_;
--- a/servers/relay/retry_after_estimator.cpp
+++ b/servers/relay/retry_after_estimator.cpp
@@ -16,6 +16,11 @@
 constexpr int IntervalWeight = 8;
 constexpr Duration MaxInterval = std::chrono::milliseconds(500);
 
+Duration longestFor(Duration timeLeft)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(timeLeft.count()) * MaxShareOfTimeLeft));
+}
+
 } // namespace
 
 void RetryAfterEstimator::noteServed(TimePoint waitedSince, TimePoint now)
@@ -34,9 +39,14 @@
 {
     const Duration bounded = std::clamp(expectedWait(ahead) + MinRetryAfter * 2, MinRetryAfter, MaxRetryAfter);
     const Duration jittered = random_.jittered(bounded, Jitter);
-    const Duration limit =
-        Duration(static_cast<Duration::rep>(static_cast<double>(timeLeft.count()) * MaxShareOfTimeLeft));
-    return std::max(MinRetryAfter, std::min(jittered, limit));
+    return std::max(MinRetryAfter, std::min(jittered, longestFor(timeLeft)));
+}
+
+Duration RetryAfterEstimator::spread(Duration timeLeft)
+{
+    const Duration longest = std::clamp(longestFor(timeLeft), MinRetryAfter, MaxRetryAfter);
+    const std::chrono::duration<double, Duration::period> drawn = (longest - MinRetryAfter) * random_.fraction();
+    return MinRetryAfter + std::chrono::duration_cast<Duration>(drawn);
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/retry_after_estimator.h
+++ b/servers/relay/retry_after_estimator.h
@@ -23,6 +23,10 @@
      *  caller will still wait. */
     Duration retryAfter(std::size_t ahead, Duration timeLeft);
 
+    /** The same for a caller that no queue holds a place for: any time that it can spare, so that callers come back
+     *  evenly. */
+    Duration spread(Duration timeLeft);
+
 private:
     RandomSource random_;
     /** Smoothed time between two dispatches while requests were waiting. */
--- a/servers/routing/routing.h
+++ b/servers/routing/routing.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "servers/routing/configuration_tracker.h"
+#include "servers/routing/fleet_clock.h"
 #include "servers/routing/pool_versions.h"
 #include "servers/routing/route_table.h"
 #include "servers/routing/site_configuration.h"
--- a/servers/routing/store_eras.h
+++ b/servers/routing/store_eras.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <optional>
 
 #include "core/core.h"
 
@@ -15,8 +16,11 @@
     std::uint64_t era = 0;
     /** The newest version of any row. A restored store gives the versions that it has lost out again. */
     std::uint64_t version = 0;
+    /** The store's own clock when it sent the answer; absent if not stated. */
+    std::optional<Duration> clock = std::nullopt;
 
-    auto operator<=>(const StoreState &) const = default;
+    /** Two answers show the same state whenever they were sent. */
+    bool operator==(const StoreState &other) const { return era == other.era && version == other.version; }
 };
 
 /** What a node knows about the store's current era, as told to other nodes. */
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 PeerReport sampleReport()
 {
@@ -37,8 +38,14 @@
         { { 0xfedcba9876543210, 2, true, { { 7, milliseconds(3) }, { 8, milliseconds(4) } }, milliseconds(5), {} },
           { 9, 0, false, {}, std::nullopt, milliseconds(0) } }
     };
-    const PeerDatagram messages[] = { sampleReport(), PeerReport {}, work,  WorkReport {}, totals,  WorkTotals {},
-                                      record,         query,         known, unknown,       crashes, CrashReport {} };
+    const LimitReport limits {
+        NodeName("node-9"),
+        { { UpstreamName("i-1"), 2.9, FleetTime(seconds(7)), FleetTime(seconds(8)) },
+          { UpstreamName("i-2"), std::nullopt, FleetTime(seconds(9)), FleetTime(seconds(9)) } }
+    };
+    const PeerDatagram messages[] = { sampleReport(), PeerReport {},  work,   WorkReport {}, totals,
+                                      WorkTotals {},  record,         query,  known,         unknown,
+                                      crashes,        CrashReport {}, limits, LimitReport {} };
     for (const PeerDatagram &message : messages) {
         EXPECT_EQ(decodePeerDatagram(encodePeerDatagram(message)), message) << message.index();
     }
--- a/tests/platform/platform_header_codec_test.cpp
+++ b/tests/platform/platform_header_codec_test.cpp
@@ -153,6 +153,27 @@
     EXPECT_TRUE(codec.decodeNotice(200, {}).empty());
 }
 
+TEST(PlatformHeaderCodecTest, LimitIsADecimalNumberOfRequests)
+{
+    const PlatformHeaderCodec codec;
+    const auto limitOf = [&codec](const std::vector<std::string> &texts) {
+        http::fields fields;
+        for (const std::string &text : texts) {
+            fields.insert("Server-Limit", text);
+        }
+        return codec.decodeHead(200, fields).requestLimit;
+    };
+    EXPECT_EQ(limitOf({}), std::nullopt);
+    EXPECT_EQ(limitOf({ "3" }), 3.0);
+    EXPECT_EQ(limitOf({ " 2.9 " }), 2.9);
+    EXPECT_EQ(limitOf({ "0" }), 0.0);
+    EXPECT_EQ(limitOf({ "4", "1.5", "x" }), 1.5);
+    EXPECT_GT(limitOf({ std::string(400, '9') }), 1000.0);
+    for (const std::string text : { "", "-1", "+1", "1e3", "1/s", "many", "1.2.3", ".", "nan", "inf" }) {
+        EXPECT_EQ(limitOf({ text }), std::nullopt) << text;
+    }
+}
+
 TEST(PlatformHeaderCodecTest, PauseIsReadFromUnavailableResponsesOnly)
 {
     using std::chrono::milliseconds;
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -114,6 +114,8 @@
     StoredConfiguration read = valueOf(readConfiguration());
     EXPECT_EQ(read.rowVersion, 1U);
     EXPECT_EQ(read.state, (StoreState { 0, 2 }));
+    ASSERT_TRUE(read.state.clock.has_value());
+    const Duration clock = *read.state.clock;
     store_.copy();
     store_.put("op", "config", "{\"version\": 3}");
     EXPECT_EQ(valueOf(readConfiguration()).rowVersion, 3U);
@@ -122,6 +124,7 @@
     read = valueOf(readConfiguration());
     EXPECT_EQ(read.rowVersion, 1U);
     EXPECT_EQ(read.state, (StoreState { 1, 2 }));
+    EXPECT_GE(read.state.clock, clock);
     store_.put("servers", "a", R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":4,"state":"ready"})");
     EXPECT_EQ(valueOf(readUpstreams()).upstreams.at(0).rowVersion, 3U);
 }
