Keep repeats of a request that crashes servers from reaching more of them

Cause: blame knew only the shared parts of prompts. A plain service states none, and the last part of a prompt is never a suspect, so a request that came again with another identifier was known by nothing.

It is one more suspect of PromptQuarantine, judged by its own attempts alone: three of them, each sent after the one before had crashed a server, so equal requests that one outage ends together count once. The first trial comes after one to two seconds, since a sound request may have been on each crashed server with it; an answer releases it at all nodes. Later trials come after ten seconds, five minutes and an hour. Parts of a quarantined request are not blamed for its crashes.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -267,6 +267,10 @@
         sendNextEvent(job);
         return;
     }
+    if (crashes) {
+        crashSoon(job);
+        return;
+    }
     job->timer.expires_after(std::chrono::milliseconds(job->script.gap));
     job->timer.async_wait([this, job](const boost::system::error_code &error) {
         if (!error && !job->over) {
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -72,7 +72,8 @@
  *   stop=N           closes after event N
  *   hard             resets the connection where it would close it
  *   reset            resets the connection in place of an answer
- *   crash            begins to answer, then resets all connections, and all further ones until it is started again
+ *   crash            begins to answer if it has events, then resets all connections, and all further ones until it is
+ *                    started again
  *   fail             answers 500
  *   full             answers 503 and states that nothing ran
  *   pause=SECONDS    as "full", with this text as the time for which it wants no requests
--- a/drivers/http/request_parser.h
+++ b/drivers/http/request_parser.h
@@ -26,6 +26,9 @@
     bool headerComplete() const { return parser_.is_header_done(); }
     bool complete() const { return parser_.is_done(); }
 
+    /** The part of the body that has arrived. */
+    std::string_view receivedBody() const { return parser_.get().body(); }
+
     /** True if the header has arrived and the caller waits for "100 Continue" before it sends the body; true only once.
      */
     bool takeExpectContinue();
--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -71,7 +71,7 @@
         suspect.depth = item.getDepth();
         suspect.hadAnswers = item.getHadAnswers();
         for (const PeerWire::SuspectedCrash::Reader crash : item.getCrashes()) {
-            suspect.crashes.push_back({ crash.getUpstream(), Duration(crash.getAge()) });
+            suspect.crashes.push_back({ crash.getUpstream(), Duration(crash.getAge()), Duration(crash.getSentAge()) });
         }
         suspect.clearedAge = readAge(item.getClearedAge());
         suspect.trialAge = readAge(item.getTrialAge());
@@ -256,6 +256,7 @@
             PeerWire::SuspectedCrash::Builder crashTarget = crashes[crashIndex++];
             crashTarget.setUpstream(crash.upstream);
             crashTarget.setAge(crash.age.count());
+            crashTarget.setSentAge(crash.sentAge.count());
         }
     }
 }
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -92,6 +92,7 @@
 struct SuspectedCrash {
   upstream @0 :UInt64;
   age @1 :Int64;
+  sentAge @2 :Int64;
 }
 
 struct SuspectReport {
--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -223,6 +223,7 @@
         phase_ = Phase::Reading;
         phaseStart_ = std::chrono::steady_clock::now();
         parser_.emplace(owner_.limits().maxHeaderBytes, owner_.limits().maxBodyBytes);
+        digest_.emplace();
     }
     if (!owner_.reserveInput(newBytes)) {
         rejectInput(Error { ResultCode::QueueFull, "Too many requests are arriving.", ArrivalRetryAfter });
@@ -234,6 +235,7 @@
         rejectInput(*error);
         return;
     }
+    digest_->update(parser_->receivedBody().substr(digest_->bodyBytes()));
     if (parser_->complete()) {
         dispatchCall();
         return;
@@ -267,6 +269,7 @@
         rejectInput(*fault);
         return;
     }
+    call->attributes.prompt.fingerprint = digest_->finish(*call);
     phase_ = Phase::Responding;
     phaseStart_ = std::chrono::steady_clock::now();
     owner_.requestOpened(request_, shared_from_this());
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "drivers/relay/relay_server.h"
+#include "drivers/relay/request_digest.h"
 
 namespace GeraniumLever {
 
@@ -86,6 +87,7 @@
     boost::beast::flat_buffer input_;
     std::array<char, 4096> chunk_;
     std::optional<RequestParser> parser_;
+    std::optional<RequestDigest> digest_;
     RequestId request_;
     Phase phase_ = Phase::Idle;
     std::chrono::steady_clock::time_point phaseStart_;
--- a/main/relay/relay_metrics.cpp
+++ b/main/relay/relay_metrics.cpp
@@ -18,10 +18,14 @@
                                 "Time since the configuration was last known to be the newest." };
 const MetricFamily storeEra { "geranium_relay_store_era", "Era of the store; rises when it is restored from a copy." };
 const MetricFamily upstreams { "geranium_relay_upstreams", "Registered upstreams." };
-const MetricFamily quarantinedParts { "geranium_relay_quarantined_parts",
-                                      "Prompt parts that are kept from upstreams because they crash them." };
-const MetricFamily suspectedParts { "geranium_relay_suspected_parts",
-                                    "Prompt parts under which an upstream has crashed since they were last answered." };
+const MetricFamily quarantinedParts {
+    "geranium_relay_quarantined_parts",
+    "Prompt parts and requests that are kept from upstreams because they crash them."
+};
+const MetricFamily suspectedParts {
+    "geranium_relay_suspected_parts",
+    "Prompt parts and requests under which an upstream has crashed since they were last answered."
+};
 const MetricFamily limitedUpstreams { "geranium_relay_limited_upstreams", "Upstreams that limit their requests." };
 const MetricFamily limitedRequests { "geranium_relay_limited_requests",
                                      "Requests sent to upstreams that limit them, since the start of the node." };
--- a/servers/relay/crash_reports.h
+++ b/servers/relay/crash_reports.h
@@ -1,4 +1,4 @@
-/** Messages in which relays tell each other under which prompt parts upstreams crash. */
+/** Messages in which relays tell each other under which prompt parts and requests upstreams crash. */
 #pragma once
 
 #include <cstdint>
@@ -16,11 +16,13 @@
     /** Hash that distinguishes the upstream's incarnations. */
     std::uint64_t upstream = 0;
     Duration age { 0 };
+    /** Time since the request was sent there. */
+    Duration sentAge { 0 };
 
     auto operator<=>(const SuspectedCrash &) const = default;
 };
 
-/** What a relay knows about one suspected part. */
+/** What a relay knows about one suspect: a prompt part, or a whole request by its fingerprint. */
 struct SuspectReport
 {
     std::uint64_t part = 0;
--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -43,13 +43,38 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
+/** Delays of the first trials of a request. The first may find it sound. */
+constexpr Duration RequestTrialDelays[] = {
+    std::chrono::seconds(1),
+    std::chrono::seconds(10),
+    std::chrono::minutes(5),
+    std::chrono::hours(1),
+};
+
 std::size_t sharedParts(const PromptInfo &prompt)
 {
     return prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
 }
 
+bool isFingerprint(std::uint64_t suspect)
+{
+    return (suspect & RequestFingerprintBit) != 0;
+}
+
 } // namespace
 
+template<typename Visit>
+void PromptQuarantine::forEachSuspect(const PromptInfo &prompt, Visit visit)
+{
+    const std::size_t shared = sharedParts(prompt);
+    for (std::size_t index = 0; index < shared; ++index) {
+        visit(prompt.parts[index].id, static_cast<std::uint32_t>(index));
+    }
+    if (prompt.fingerprint != 0) {
+        visit(prompt.fingerprint, static_cast<std::uint32_t>(shared));
+    }
+}
+
 std::uint32_t PromptQuarantine::Suspect::crashCount() const
 {
     return storedCrashes + static_cast<std::uint32_t>(crashes.size());
@@ -57,55 +82,59 @@
 
 std::uint32_t PromptQuarantine::Suspect::episodes() const
 {
-    std::vector<TimePoint> times;
-    for (const auto &[upstream, at] : crashes) {
-        times.push_back(at);
+    std::vector<std::pair<TimePoint, TimePoint>> times;
+    for (const auto &[upstream, crash] : crashes) {
+        times.emplace_back(crash.at, crash.sentAt);
     }
     std::sort(times.begin(), times.end());
     std::uint32_t count = 0;
-    TimePoint episodeEnd;
-    for (const TimePoint &at : times) {
-        if (count == 0 || at > episodeEnd) {
+    TimePoint last;
+    for (const auto &[at, sentAt] : times) {
+        if (count == 0 || (isRequest ? sentAt >= last : at > last + EpisodeLength)) {
             ++count;
-            episodeEnd = at + EpisodeLength;
+            last = at;
         }
     }
     return count;
 }
 
-void PromptQuarantine::noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint now)
+void PromptQuarantine::noteCrash(const UpstreamIdentity &upstream,
+                                 const PromptInfo &prompt,
+                                 TimePoint sentAt,
+                                 TimePoint now)
 {
     const std::uint64_t hash = hashOf(upstream);
     std::vector<std::uint64_t> accused;
-    for (std::size_t index = 0; index < sharedParts(prompt); ++index) {
-        const std::uint64_t part = prompt.parts[index].id;
+    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t depth) {
         if (isAccountedFor(part, hash)) {
-            continue;
+            return;
         }
         Suspect &suspect = suspectOf(part, now);
-        suspect.depth = std::max(suspect.depth, static_cast<std::uint32_t>(index));
-        if (addCrash(suspect, hash, now)) {
+        suspect.depth = std::max(suspect.depth, depth);
+        if (addCrash(suspect, hash, { now, sentAt })) {
             noteChanged(suspect, now);
             accused.push_back(part);
         }
-    }
+    });
     judge(std::move(accused), now);
 }
 
 void PromptQuarantine::noteAnswered(const PromptInfo &prompt, TimePoint now)
 {
-    for (std::size_t index = 0; index < sharedParts(prompt); ++index) {
-        const std::uint64_t part = prompt.parts[index].id;
-        answered_.insert(part);
+    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
+        // Most requests come only once.
+        if (!isFingerprint(part)) {
+            answered_.insert(part);
+        }
         const auto found = suspects_.find(part);
         if (found == suspects_.end() || !found->second.isAccused()) {
-            continue;
+            return;
         }
         clear(part, found->second, now);
         if (found->second.shared) {
             found->second.newsAt = now;
         }
-    }
+    });
 }
 
 void PromptQuarantine::receive(const CrashReport &report, TimePoint now)
@@ -126,7 +155,8 @@
             changed = changed || (wasAccused && !suspect.isAccused());
         }
         for (const SuspectedCrash &crash : reported.crashes) {
-            if (!isAccountedFor(reported.part, crash.upstream) && addCrash(suspect, crash.upstream, now - crash.age)) {
+            if (!isAccountedFor(reported.part, crash.upstream)
+                && addCrash(suspect, crash.upstream, { now - crash.age, now - crash.sentAge })) {
                 changed = true;
                 accused.push_back(reported.part);
             }
@@ -134,8 +164,7 @@
         if (reported.trialAge.has_value()) {
             const TimePoint at = now - *reported.trialAge;
             if (!suspect.trialAt.has_value() || at > *suspect.trialAt + SameTrialTime) {
-                suspect.trialAt = at;
-                postponeTrial(suspect, at);
+                noteTrial(suspect, at);
                 changed = true;
             }
         }
@@ -148,11 +177,12 @@
 
 bool PromptQuarantine::accuses(const PromptInfo &prompt) const
 {
-    const auto end = prompt.parts.begin() + static_cast<std::ptrdiff_t>(sharedParts(prompt));
-    return std::any_of(prompt.parts.begin(), end, [this](const PromptPart &part) {
-        const auto found = suspects_.find(part.id);
-        return found != suspects_.end() && found->second.isAccused();
+    bool isAccused = false;
+    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
+        const auto found = suspects_.find(part);
+        isAccused = isAccused || (found != suspects_.end() && found->second.isAccused());
     });
+    return isAccused;
 }
 
 Duration PromptQuarantine::blockedFor(const PromptInfo &prompt, TimePoint now) const
@@ -161,12 +191,12 @@
     if (suspects_.empty()) {
         return longest;
     }
-    for (std::size_t index = 0; index < sharedParts(prompt); ++index) {
-        const auto found = suspects_.find(prompt.parts[index].id);
+    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
+        const auto found = suspects_.find(part);
         if (found != suspects_.end() && found->second.quarantined) {
             longest = std::max(longest, found->second.blockedUntil - now);
         }
-    }
+    });
     return longest;
 }
 
@@ -175,14 +205,20 @@
     if (suspects_.empty()) {
         return;
     }
-    for (std::size_t index = 0; index < sharedParts(prompt); ++index) {
-        const auto found = suspects_.find(prompt.parts[index].id);
+    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
+        const auto found = suspects_.find(part);
         if (found != suspects_.end() && found->second.quarantined) {
-            found->second.trialAt = now;
             found->second.newsAt = now;
-            postponeTrial(found->second, now);
+            noteTrial(found->second, now);
         }
-    }
+    });
+}
+
+void PromptQuarantine::noteTrial(Suspect &suspect, TimePoint at)
+{
+    suspect.trialAt = at;
+    ++suspect.trials;
+    postponeTrial(suspect, at);
 }
 
 std::vector<SuspectReport> PromptQuarantine::takeNews(TimePoint now)
@@ -251,6 +287,7 @@
         const std::uint32_t known = static_cast<std::uint32_t>(suspect.crashes.size());
         suspect.storedCrashes = std::max(suspect.storedCrashes, crashes - std::min(crashes, known));
         if (!suspect.quarantined) {
+            suspect.trials = std::max<std::uint32_t>(suspect.trials, 1);
             quarantine(part, suspect, now);
         }
     }
@@ -315,8 +352,8 @@
     report.part = part;
     report.depth = suspect.depth;
     report.hadAnswers = suspect.hadAnswers;
-    for (const auto &[upstream, at] : suspect.crashes) {
-        report.crashes.push_back({ upstream, now - at });
+    for (const auto &[upstream, crash] : suspect.crashes) {
+        report.crashes.push_back({ upstream, now - crash.at, now - crash.sentAt });
     }
     if (report.crashes.size() > MaxReportedCrashes) {
         std::sort(report.crashes.begin(), report.crashes.end(), [](const SuspectedCrash &a, const SuspectedCrash &b) {
@@ -348,27 +385,28 @@
         }));
     }
     Suspect &suspect = suspects_[part];
+    suspect.isRequest = isFingerprint(part);
     suspect.hadAnswers = answered_.contains(part);
     suspect.changedAt = now;
     return suspect;
 }
 
-bool PromptQuarantine::addCrash(Suspect &suspect, std::uint64_t upstream, TimePoint at)
+bool PromptQuarantine::addCrash(Suspect &suspect, std::uint64_t upstream, const Crash &crash)
 {
-    const bool isOld = suspect.clearedAt.has_value() && at <= *suspect.clearedAt;
-    if (isOld || suspect.crashes.size() >= MaxCrashes || !suspect.crashes.try_emplace(upstream, at).second) {
+    const bool isOld = suspect.clearedAt.has_value() && crash.at <= *suspect.clearedAt;
+    if (isOld || suspect.crashes.size() >= MaxCrashes || !suspect.crashes.try_emplace(upstream, crash).second) {
         return false;
     }
     if (suspect.quarantined) {
         ++revision_;
-        postponeTrial(suspect, at);
+        postponeTrial(suspect, crash.at);
     }
     return true;
 }
 
 bool PromptQuarantine::isAccountedFor(std::uint64_t part, std::uint64_t upstream) const
 {
-    return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
+    return !isFingerprint(part) && std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
         return entry.first != part && entry.second.quarantined && entry.second.crashes.count(upstream) != 0;
     });
 }
@@ -376,13 +414,14 @@
 void PromptQuarantine::clear(std::uint64_t part, Suspect &suspect, TimePoint at)
 {
     suspect.clearedAt = std::max(suspect.clearedAt.value_or(at), at);
-    std::erase_if(suspect.crashes, [&](const auto &crash) { return crash.second <= *suspect.clearedAt; });
+    std::erase_if(suspect.crashes, [&](const auto &crash) { return crash.second.at <= *suspect.clearedAt; });
     suspect.hadAnswers = true;
     if (!suspect.crashes.empty()) {
         return;
     }
     suspect.storedCrashes = 0;
     suspect.trialAt.reset();
+    suspect.trials = 0;
     if (std::exchange(suspect.quarantined, false)) {
         noteQuarantineChanged(part, suspect);
     }
@@ -422,7 +461,7 @@
     postponeTrial(suspect, now);
     noteQuarantineChanged(part, suspect);
     for (auto &[other, otherSuspect] : suspects_) {
-        if (other != part && !otherSuspect.quarantined) {
+        if (other != part && !otherSuspect.quarantined && !otherSuspect.isRequest) {
             std::erase_if(otherSuspect.crashes,
                           [&suspect](const auto &crash) { return suspect.crashes.count(crash.first) != 0; });
         }
@@ -439,7 +478,9 @@
 {
     const std::uint32_t crashes = suspect.crashCount();
     Duration delay = EarlyTrialDelay;
-    if (crashes > EarlyCrashes) {
+    if (suspect.isRequest) {
+        delay = RequestTrialDelays[std::min<std::size_t>(suspect.trials, std::size(RequestTrialDelays) - 1)];
+    } else if (crashes > EarlyCrashes) {
         delay = std::min(MaxTrialDelay,
                          TrialDelay * (1 << std::min<std::uint32_t>(crashes - EarlyCrashes - 1, MaxDoublings)));
     }
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -1,4 +1,4 @@
-/** Finds the prompt parts under which upstreams crash. */
+/** Finds the prompt parts and the requests under which upstreams crash. */
 #pragma once
 
 #include <functional>
@@ -42,23 +42,29 @@
 };
 
 /**
- * Keeps requests with a prompt part that crashes upstreams from reaching more of them.
+ * Keeps requests with a prompt part that crashes upstreams, and repeats of a request that does, from reaching more of
+ * them.
  *
- * A crash takes sound requests along, so it makes every part of the upstream's unanswered requests a suspect. An answer
+ * A crash takes sound requests along, so it makes every part of the upstream's unanswered requests a suspect, and each
+ * of these requests as a whole by its fingerprint. An answer
  * clears all parts of its request. A suspect is quarantined once several upstreams have crashed under it, at different
  * times, with no answer in between; more crashes are needed for a part that had been answered before. Among suspects
  * that account for the same crashes, the one without earlier answers and then the most specific one is quarantined, and
  * these crashes no longer count against the others. A quarantined part is tried again with a single request after a
  * while, which grows with the number of crashes. The last part of a prompt belongs to a single request or session and
  * is never a suspect.
+ *
+ * A whole request is judged by its own attempts alone, each sent after the one before had crashed an upstream. A sound
+ * request that was sent along with a crashing one every time is quarantined with it, so the first trial comes soon.
  */
 class PromptQuarantine
 {
 public:
     explicit PromptQuarantine(std::uint64_t seed) : random_(seed) { }
 
-    /** The upstream ended the connection on which it had this request before the answer was complete. */
-    void noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint now);
+    /** The upstream ended the connection on which it had this request, sent at sentAt, before the answer was complete.
+     */
+    void noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint sentAt, TimePoint now);
 
     /** An upstream has answered this request completely. */
     void noteAnswered(const PromptInfo &prompt, TimePoint now);
@@ -110,16 +116,27 @@
     static constexpr std::size_t MaxReportedCrashes = 6;
 
 private:
+    struct Crash
+    {
+        TimePoint at;
+        /** When the request was sent to the upstream. */
+        TimePoint sentAt;
+    };
+
     struct Suspect
     {
+        /** True for a request, false for a prompt part. */
+        bool isRequest = false;
         std::uint32_t depth = 0;
         bool hadAnswers = false;
         /** By the upstream's hash, since the part was last cleared. */
-        std::map<std::uint64_t, TimePoint> crashes;
+        std::map<std::uint64_t, Crash> crashes;
         /** Number of further crashes that the store knows of. */
         std::uint32_t storedCrashes = 0;
         std::optional<TimePoint> clearedAt;
         std::optional<TimePoint> trialAt;
+        /** Number of trials that are known of. */
+        std::uint32_t trials = 0;
         /** Until then no request may be sent as a trial. */
         TimePoint blockedUntil;
         /** When something was last learnt. */
@@ -133,7 +150,8 @@
         std::size_t storeDifferences = 0;
 
         std::uint32_t crashCount() const;
-        /** Number of crashes that are too far apart to have one cause outside the upstreams. */
+        /** Number of crashes that cannot have one cause outside the upstreams: those of a part are far enough apart,
+         * and a request was sent after the crash before. */
         std::uint32_t episodes() const;
         bool isAccused() const { return quarantined || crashCount() != 0; }
     };
@@ -145,9 +163,13 @@
     std::vector<std::uint64_t> mostAccused(const std::function<bool(const Suspect &)> &matters) const;
     static SuspectReport reportOf(std::uint64_t part, const Suspect &suspect, TimePoint now);
     Suspect &suspectOf(std::uint64_t part, TimePoint now);
+    /** Calls visit with each suspect that the request could be, as an identifier and its position in the prompt. */
+    template<typename Visit>
+    static void forEachSuspect(const PromptInfo &prompt, Visit visit);
     /** Returns false if the crash is known, or precedes an answer. */
-    bool addCrash(Suspect &suspect, std::uint64_t upstream, TimePoint at);
-    /** True if another part is quarantined for this crash. */
+    bool addCrash(Suspect &suspect, std::uint64_t upstream, const Crash &crash);
+    void noteTrial(Suspect &suspect, TimePoint at);
+    /** True if the suspect is a part, and another suspect is quarantined for this crash. */
     bool isAccountedFor(std::uint64_t part, std::uint64_t upstream) const;
     void clear(std::uint64_t part, Suspect &suspect, TimePoint at);
     void noteChanged(Suspect &suspect, TimePoint now);
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -23,7 +23,10 @@
     auto operator<=>(const PromptPart &) const = default;
 };
 
-/** What a caller states about a language-model request; all zero for other requests. */
+/** Set in the fingerprints of requests, and not in the identifiers of prompt parts. */
+constexpr std::uint64_t RequestFingerprintBit = std::uint64_t(1) << 63;
+
+/** What identifies a request's content, and what a caller states about a language-model request. */
 struct PromptInfo
 {
     std::uint32_t promptTokens = 0;
@@ -31,6 +34,8 @@
     std::uint32_t outputTokens = 0;
     /** In prompt order; the last segment is specific to the request or its session. */
     std::vector<PromptPart> parts;
+    /** Equal for requests that repeat each other: the same caller, target, shared parts and body; 0 if not known. */
+    std::uint64_t fingerprint = 0;
 
     auto operator<=>(const PromptInfo &) const = default;
 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -579,7 +579,7 @@
     row->failedUpstreams.insert(row->upstream.name);
     unconfirmedAnswers_.discard(row->upstream);
     if (failure.kind == RelayFailure::Kind::Broken) {
-        quarantine_.noteCrash(row->upstream, row->request.prompt, now);
+        quarantine_.noteCrash(row->upstream, row->request.prompt, row->dispatchedAt, now);
     }
     endAttempt(*row);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
@@ -661,9 +661,7 @@
     finish(row, Outcome::NotRun, code, now, commands);
     commands.emplace_back(RelayRefusal {
         request,
-        { final,
-          isQuarantined ? "upstreams crash under a part of this prompt" : "no upstream has free capacity",
-          retryAfter },
+        { final, isQuarantined ? "upstreams crash under this request" : "no upstream has free capacity", retryAfter },
         Outcome::NotRun });
 }
 
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -33,11 +33,14 @@
     const StreamQuery query { NodeName("node-5"), "r1" };
     const StreamReply known { NodeName("node-6"), "r1", origin };
     const StreamReply unknown { NodeName("node-7"), "r1", std::nullopt };
-    const CrashReport crashes {
-        NodeName("node-8"),
-        { { 0xfedcba9876543210, 2, true, { { 7, milliseconds(3) }, { 8, milliseconds(4) } }, milliseconds(5), {} },
-          { 9, 0, false, {}, std::nullopt, milliseconds(0) } }
-    };
+    const CrashReport crashes { NodeName("node-8"),
+                                { { 0xfedcba9876543210,
+                                    2,
+                                    true,
+                                    { { 7, milliseconds(3), milliseconds(9) }, { 8, milliseconds(4) } },
+                                    milliseconds(5),
+                                    {} },
+                                  { 9, 0, false, {}, std::nullopt, milliseconds(0) } } };
     const LimitReport limits {
         NodeName("node-9"),
         { { UpstreamName("i-1"), 2.9, FleetTime(seconds(7)), FleetTime(seconds(8)) },
--- a/tests/main/relay/relay_crash_test.cpp
+++ b/tests/main/relay/relay_crash_test.cpp
@@ -109,5 +109,84 @@
     EXPECT_TRUE(runUntil([&]() { return store_.rowCount("quarantine") == 1; }));
 }
 
+/** Plain servers crash under one request that comes again and again. */
+class RelayRepeatTest : public RelayNodeFixture
+{
+protected:
+    static constexpr int Servers = 3;
+
+    RelayRepeatTest()
+    {
+        settings_.keyLifetime = std::chrono::seconds(30);
+        for (int number = 0; number < Servers; ++number) {
+            addServer(serverName(number), "plain");
+        }
+        writeConfiguration();
+    }
+
+    static std::string serverName(int number) { return "p" + std::to_string(number); }
+
+    ReceivedResponse send(const std::string &path, const std::string &body, const std::string &script)
+    {
+        return sendRequest(
+            request("r" + std::to_string(++lastId_), "POST", path, body, "Stand-In: " + script + "\r\n"));
+    }
+
+    void restartServers()
+    {
+        for (int number = 0; number < Servers; ++number) {
+            ServerStandIn &server = *servers_[static_cast<std::size_t>(number)];
+            if (server.isCrashed()) {
+                server.startAgain();
+                registerServer(server, serverName(number));
+            }
+        }
+        runFor(milliseconds(300));
+    }
+
+    /** Sends the crashing request from time to time, and sound ones in between; returns how many servers crashed. */
+    std::uint64_t crashAndServe(const std::string &path, int times)
+    {
+        for (int number = 0; number < times; ++number) {
+            send(path, "crashing body", "gap=10 crash");
+            restartServers();
+            EXPECT_EQ(send(path, "sound body " + std::to_string(number), "gap=1").status, 200U);
+        }
+        std::uint64_t count = 0;
+        for (const std::unique_ptr<ServerStandIn> &server : servers_) {
+            count += server->incarnation() - 1;
+        }
+        return count;
+    }
+
+    int lastId_ = 0;
+};
+
+// Guards against a request that crashes server after server each time that it comes again.
+TEST_F(RelayRepeatTest, RequestThatMayRunAgainCrashesAtMostAFewServersHoweverOftenItComes)
+{
+    startNode();
+    EXPECT_LE(crashAndServe("/read/1", 12), 6U) << "three, and three more";
+}
+
+TEST_F(RelayRepeatTest, RequestThatMayRunOnceCrashesAtMostAFewServersHoweverOftenItComes)
+{
+    startNode();
+    EXPECT_LE(crashAndServe("/once/1", 12), 6U) << "three, and three more";
+    const ReceivedResponse refused = send("/once/1", "crashing body", "gap=10 crash");
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_NE(refused.head.find("Retry-After: "), std::string::npos);
+}
+
+TEST_F(RelayRepeatTest, AnswerReleasesARequestThatWasWronglyQuarantined)
+{
+    startNode();
+    crashAndServe("/once/1", 3);
+    EXPECT_EQ(send("/once/1", "crashing body", "gap=1").status, 503U);
+    runFor(milliseconds(2100));
+    EXPECT_EQ(send("/once/1", "crashing body", "gap=1").status, 200U);
+    EXPECT_EQ(send("/once/1", "crashing body", "gap=1").status, 200U);
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -37,7 +37,7 @@
     {
         const UpstreamIdentity upstream { UpstreamName("e" + std::to_string(++lastUpstream_)), "10.0.0.1:80", 1 };
         for (const PromptInfo &prompt : prompts) {
-            quarantine.noteCrash(upstream, prompt, clock_.now());
+            quarantine.noteCrash(upstream, prompt, clock_.now(), clock_.now());
         }
     }
 
@@ -107,7 +107,7 @@
 {
     const UpstreamIdentity upstream { UpstreamName("e1"), "10.0.0.1:80", 1 };
     for (int number = 0; number < 10; ++number) {
-        quarantine_.noteCrash(upstream, sound(), clock_.now());
+        quarantine_.noteCrash(upstream, sound(), clock_.now(), clock_.now());
         clock_.advance(seconds(1));
     }
     EXPECT_FALSE(isBlocked(sound()));
@@ -237,6 +237,80 @@
     EXPECT_TRUE(quarantine_.reconcile({}, rank(3), clock_.now()).empty());
 }
 
+// Whole requests.
+
+constexpr std::uint64_t CrashingRequest = RequestFingerprintBit | 1;
+constexpr std::uint64_t SoundRequest = RequestFingerprintBit | 2;
+
+PromptInfo requestOf(std::uint64_t fingerprint)
+{
+    PromptInfo prompt;
+    prompt.fingerprint = fingerprint;
+    return prompt;
+}
+
+TEST_F(PromptQuarantineTest, RequestThatCrashesUpstreamsOneAfterTheOtherIsQuarantined)
+{
+    for (int number = 0; number < 3; ++number) {
+        EXPECT_FALSE(isBlocked(requestOf(CrashingRequest)));
+        crash({ requestOf(CrashingRequest) }, quarantine_);
+        clock_.advance(milliseconds(5));
+    }
+    EXPECT_TRUE(isBlocked(requestOf(CrashingRequest)));
+    EXPECT_FALSE(isBlocked(requestOf(SoundRequest)));
+}
+
+TEST_F(PromptQuarantineTest, EqualRequestsThatAreLostAtTheSameTimeAreOneCrash)
+{
+    const TimePoint sentAt = clock_.now();
+    clock_.advance(milliseconds(60));
+    for (int number = 0; number < 6; ++number) {
+        const UpstreamIdentity upstream { UpstreamName("p" + std::to_string(number)), "10.0.0.1:80", 1 };
+        quarantine_.noteCrash(upstream, requestOf(SoundRequest), sentAt, clock_.now());
+        clock_.advance(milliseconds(5));
+    }
+    EXPECT_FALSE(isBlocked(requestOf(SoundRequest)));
+}
+
+TEST_F(PromptQuarantineTest, SoundPartsOfACrashingRequestAreNotQuarantined)
+{
+    PromptInfo request = promptOf({ SharedPart, SoundPart, ++lastOwn_ });
+    request.fingerprint = CrashingRequest;
+    crashTimes(3, request);
+    EXPECT_TRUE(isBlocked(request));
+    EXPECT_FALSE(isBlocked(sound()));
+}
+
+TEST_F(PromptQuarantineTest, SoundRequestThatWasAtEachCrashIsServedSoonAfter)
+{
+    for (int number = 0; number < 3; ++number) {
+        crash({ requestOf(CrashingRequest), requestOf(SoundRequest) }, quarantine_);
+        clock_.advance(milliseconds(100));
+    }
+    clock_.advance(seconds(2));
+    ASSERT_FALSE(isBlocked(requestOf(SoundRequest)));
+    quarantine_.noteSent(requestOf(SoundRequest), clock_.now());
+    EXPECT_TRUE(isBlocked(requestOf(SoundRequest))) << "one trial";
+    clock_.advance(milliseconds(60));
+    quarantine_.noteAnswered(requestOf(SoundRequest), clock_.now());
+    EXPECT_FALSE(isBlocked(requestOf(SoundRequest)));
+    quarantine_.noteSent(requestOf(CrashingRequest), clock_.now());
+    crash({ requestOf(CrashingRequest) }, quarantine_);
+    clock_.advance(seconds(9));
+    EXPECT_TRUE(isBlocked(requestOf(CrashingRequest)));
+}
+
+TEST_F(PromptQuarantineTest, AnsweredRequestsAreNotRemembered)
+{
+    for (std::uint64_t number = 0; number < 3 * AnsweredParts::Capacity; ++number) {
+        quarantine_.noteAnswered(requestOf(RequestFingerprintBit | (100 + number)), clock_.now());
+    }
+    quarantine_.noteAnswered(sound(), clock_.now());
+    EXPECT_EQ(quarantine_.suspects(), 0U);
+    crashTimes(3, sound());
+    EXPECT_FALSE(isBlocked(sound())) << "it had been answered";
+}
+
 // A fleet.
 
 class QuarantineFleetTest : public PromptQuarantineTest
@@ -323,6 +397,50 @@
     EXPECT_LE(sent_, nodes_.size() * 8 * 25) << "datagrams for five crashes";
 }
 
+TEST_F(QuarantineFleetTest, RepeatsOfACrashingRequestReachFewUpstreamsWhicheverNodesTheyComeTo)
+{
+    for (const int size : { 9, 76, 300 }) {
+        nodes_.clear();
+        indices_.clear();
+        start(size);
+        int crashes = 0;
+        int late = 0;
+        int refusedSound = 0;
+        std::optional<TimePoint> third;
+        for (int repeat = 0; repeat < 600; ++repeat) {
+            const auto draw = [&]() {
+                return static_cast<std::size_t>(random_.fraction() * static_cast<double>(nodes_.size()));
+            };
+            Node &node = nodes_[draw()];
+            if (node.quarantine.blockedFor(requestOf(CrashingRequest), clock_.now()) <= Duration(0)) {
+                node.quarantine.noteSent(requestOf(CrashingRequest), clock_.now());
+                late += third.has_value() && clock_.now() > *third + seconds(3) ? 1 : 0;
+                Node &other = nodes_[draw()];
+                const PromptInfo beside = requestOf(SoundRequest + static_cast<std::uint64_t>(repeat) % 3);
+                const UpstreamIdentity upstream { UpstreamName("p" + std::to_string(++lastUpstream_)), "", 1 };
+                const TimePoint sentAt = clock_.now();
+                run(milliseconds(75));
+                node.quarantine.noteCrash(upstream, requestOf(CrashingRequest), sentAt, clock_.now());
+                other.quarantine.noteCrash(upstream, beside, sentAt, clock_.now());
+                if (++crashes == 3) {
+                    third = clock_.now();
+                }
+            }
+            run(milliseconds(100));
+            Node &sound = nodes_[draw()];
+            const PromptInfo request = requestOf(SoundRequest + static_cast<std::uint64_t>(repeat) % 3);
+            if (sound.quarantine.blockedFor(request, clock_.now()) > Duration(0)) {
+                ++refusedSound;
+            } else {
+                sound.quarantine.noteSent(request, clock_.now());
+                sound.quarantine.noteAnswered(request, clock_.now());
+            }
+        }
+        EXPECT_LE(late, 3) << size;
+        EXPECT_LE(refusedSound, 6) << size << " of 600";
+    }
+}
+
 TEST_F(QuarantineFleetTest, QuarantinedPartIsReportedAmongManySuspects)
 {
     start(2);
