Carry what an upstream stated over to further restarts that are registered late

Cause: a statement that was carried over lost the mark that it may come from an incarnation that is not registered yet.

Change: the mark goes along, so the statement is carried on until it is MaxRegistrationTime old, as before. One check of StatementsBeforeARestartIsRegisteredHoldForTheNextIncarnation demanded the fault ("carried over once"); it is replaced by two that demand the statement within that time and nothing after it.

--- a/servers/routing/upstream_notices.cpp
+++ b/servers/routing/upstream_notices.cpp
@@ -99,6 +99,10 @@
 {
     Notice &carried = noticeOf(next);
     carried.lastKnownAt = now;
+    // The upstream may have started more than once before its first start is registered.
+    if (!carried.unattributed.has_value() || carried.unattributed->statedAt < statements.statedAt) {
+        carried.unattributed = statements;
+    }
     carried.pausedUntil = std::max(carried.pausedUntil, std::min(statements.pausedUntil, now + CarriedLifetime));
     if (statements.isLeaving && !carried.isLeaving) {
         carried.isLeaving = true;
--- a/servers/routing/upstream_notices.h
+++ b/servers/routing/upstream_notices.h
@@ -17,7 +17,7 @@
  *
  * An upstream that has started again may state something before its new incarnation is registered. A statement on a
  * connection that was opened after the upstream had broken off others may be of that kind. It holds for the next
- * incarnation too if that is registered soon, for a limited time unless it is repeated.
+ * incarnations too as far as they are registered soon, for a limited time unless it is repeated.
  */
 class UpstreamNotices
 {
--- a/tests/servers/routing/upstream_notices_test.cpp
+++ b/tests/servers/routing/upstream_notices_test.cpp
@@ -79,7 +79,24 @@
     EXPECT_FALSE(notices_.acceptsRequests(entryOf("a", 2)));
     EXPECT_EQ(notices_.pausedUntil(entryOf("a", 2)), clock_.now() + std::chrono::seconds(10));
     update({ entryOf("a", 3) });
-    EXPECT_TRUE(notices_.acceptsRequests(entryOf("a", 3))) << "carried over once";
+    EXPECT_FALSE(notices_.acceptsRequests(entryOf("a", 3))) << "two restarts may be registered late";
+    clock_.advance(std::chrono::milliseconds(1100));
+    update({ entryOf("a", 4) });
+    EXPECT_TRUE(notices_.acceptsRequests(entryOf("a", 4))) << "it was registered too late";
+    EXPECT_EQ(notices_.pausedUntil(entryOf("a", 4)), TimePoint());
+}
+
+// Guards against requests to a leaving server that restarted twice before the store showed either start.
+TEST_F(UpstreamNoticesTest, LeavingHoldsAfterTwoRestartsThatWereRegisteredOneAfterTheOther)
+{
+    const UpstreamIdentity upstream = entryOf("a", 1).identity();
+    notices_.noteLeaving(upstream, clock_.now());
+    notices_.noteAfterLoss(upstream, true, std::nullopt, std::chrono::seconds(1), clock_.now());
+    for (const std::uint64_t incarnation : { 2, 3, 4 }) {
+        clock_.advance(std::chrono::milliseconds(200));
+        update({ entryOf("a", incarnation) });
+        EXPECT_FALSE(notices_.acceptsRequests(entryOf("a", incarnation))) << incarnation;
+    }
 }
 
 TEST_F(UpstreamNoticesTest, LeavingThatWasCarriedOverEndsUnlessItIsStatedAgain)
