Count the demand of a limited pool only while there are limits

The counts of each tier and team were kept for every request and looked through every 25 ms, which would grow with the number of teams: control that competes with requests. They are kept only while a limit is known, which is when a permit may have to be left to somebody, and looked through once a second.

--- a/servers/relay/limit_system.cpp
+++ b/servers/relay/limit_system.cpp
@@ -6,6 +6,12 @@
 
 namespace GeraniumLever {
 
+namespace {
+
+constexpr Duration ExpiryPeriod = std::chrono::seconds(1);
+
+} // namespace
+
 void LimitSystem::answered(const UpstreamName &upstream,
                            const std::optional<double> &rate,
                            TimePoint sentAt,
@@ -30,7 +36,9 @@
 
 void LimitSystem::requestArrived(const RelayRow &row, TimePoint now)
 {
-    admissions_[row.pool].noteRequest(row.tier, row.team, now);
+    if (fleet_.limits().size() != 0) {
+        admissions_[row.pool].noteRequest(row.tier, row.team, now);
+    }
 }
 
 void LimitSystem::requestSent(const RelayRow &row, TimePoint now)
@@ -55,6 +63,10 @@
 void LimitSystem::tick(TimePoint now, RelayCommands &commands)
 {
     share(now, commands);
+    if (now < nextExpiry_) {
+        return;
+    }
+    nextExpiry_ = now + ExpiryPeriod;
     for (auto &[pool, admission] : admissions_) {
         admission.expire(now);
     }
--- a/servers/relay/limit_system.h
+++ b/servers/relay/limit_system.h
@@ -53,6 +53,7 @@
     FleetState &fleet_;
     const RelayPlacement &placement_;
     std::map<PoolName, LimitedAdmission> admissions_;
+    TimePoint nextExpiry_;
 };
 
 } // namespace GeraniumLever
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -54,6 +54,18 @@
     }
 }
 
+TEST(PeerCodecTest, LimitReportFitsIntoADatagram)
+{
+    constexpr std::size_t MaxBytes = 1400;
+    LimitReport report { NodeName("front-casnewydd-b-100"), {} };
+    for (std::size_t number = 0; number < UpstreamLimits::MaxReportedStatements; ++number) {
+        report.statements.push_back({ UpstreamName("i-0123456789abcdef"), 2.9, FleetTime(seconds(7)), FleetTime() });
+    }
+    EXPECT_LE(encodePeerDatagram(report).size(), MaxBytes);
+    report.statements.resize(1);
+    EXPECT_LE(encodePeerDatagram(report).size(), 200U);
+}
+
 TEST(PeerCodecTest, InvalidBytesAreRejected)
 {
     const std::string bytes = encodePeerDatagram(sampleReport());
