Let broken streams of a limited pool use the permits that are left to others

A stream whose engine breaks while all engines limit their requests left the next permits to more urgent tiers, and was lost with what its caller had when its time to resume ran out. It has been admitted once; it now takes the next permit. The test (BrokenStreamNeedNotLeaveAPermitToMoreUrgentRequests) failed without the change.

--- a/servers/relay/limit_system.cpp
+++ b/servers/relay/limit_system.cpp
@@ -53,7 +53,8 @@
 bool LimitSystem::admits(const RelayRow &row, const PlacementQuery &query, TimePoint now) const
 {
     const auto admission = admissions_.find(row.pool);
-    if (fleet_.limits().size() == 0 || admission == admissions_.end()) {
+    const bool continuesStream = row.firstByte.has_value();
+    if (fleet_.limits().size() == 0 || admission == admissions_.end() || continuesStream) {
         return true;
     }
     const std::optional<RequestPermits> permits = placement_.permits(fleet_.directory(), query, now);
--- a/servers/relay/limit_system.h
+++ b/servers/relay/limit_system.h
@@ -39,7 +39,8 @@
     /** The row's attempt is sent to its upstream. */
     void requestSent(const RelayRow &row, TimePoint now);
 
-    /** False if the permits for a limited pool should be left to other requests. */
+    /** False if the permits for a limited pool should be left to other requests. A stream that has begun would be lost,
+     *  so it need not leave them to any. */
     bool admits(const RelayRow &row, const PlacementQuery &query, TimePoint now) const;
 
     /** To be called every few tens of milliseconds. */
--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -105,15 +105,15 @@
 {
     const std::uint64_t hash = hashOf(upstream);
     std::vector<std::uint64_t> accused;
-    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t depth) {
-        if (isAccountedFor(part, hash)) {
+    forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t depth) {
+        if (isAccountedFor(id, hash)) {
             return;
         }
-        Suspect &suspect = suspectOf(part, now);
+        Suspect &suspect = suspectOf(id, now);
         suspect.depth = std::max(suspect.depth, depth);
         if (addCrash(suspect, hash, { now, sentAt })) {
             noteChanged(suspect, now);
-            accused.push_back(part);
+            accused.push_back(id);
         }
     });
     judge(std::move(accused), now);
@@ -121,16 +121,16 @@
 
 void PromptQuarantine::noteAnswered(const PromptInfo &prompt, TimePoint now)
 {
-    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
+    forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t) {
         // Most requests come only once.
-        if (!isFingerprint(part)) {
-            answered_.insert(part);
+        if (!isFingerprint(id)) {
+            answered_.insert(id);
         }
-        const auto found = suspects_.find(part);
+        const auto found = suspects_.find(id);
         if (found == suspects_.end() || !found->second.isAccused()) {
             return;
         }
-        clear(part, found->second, now);
+        clear(id, found->second, now);
         if (found->second.shared) {
             found->second.newsAt = now;
         }
@@ -178,8 +178,8 @@
 bool PromptQuarantine::accuses(const PromptInfo &prompt) const
 {
     bool isAccused = false;
-    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
-        const auto found = suspects_.find(part);
+    forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t) {
+        const auto found = suspects_.find(id);
         isAccused = isAccused || (found != suspects_.end() && found->second.isAccused());
     });
     return isAccused;
@@ -191,8 +191,8 @@
     if (suspects_.empty()) {
         return longest;
     }
-    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
-        const auto found = suspects_.find(part);
+    forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t) {
+        const auto found = suspects_.find(id);
         if (found != suspects_.end() && found->second.quarantined) {
             longest = std::max(longest, found->second.blockedUntil - now);
         }
@@ -205,8 +205,8 @@
     if (suspects_.empty()) {
         return;
     }
-    forEachSuspect(prompt, [&](std::uint64_t part, std::uint32_t) {
-        const auto found = suspects_.find(part);
+    forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t) {
+        const auto found = suspects_.find(id);
         if (found != suspects_.end() && found->second.quarantined) {
             found->second.newsAt = now;
             noteTrial(found->second, now);
--- a/servers/relay/request_slots.h
+++ b/servers/relay/request_slots.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "servers/routing/fleet_clock.h"
+#include "servers/routing/routing.h"
 
 namespace GeraniumLever {
 
--- a/tests/servers/relay/relay_limit_test.cpp
+++ b/tests/servers/relay/relay_limit_test.cpp
@@ -154,5 +154,26 @@
     EXPECT_LE(sent[UpstreamName("e1")] + sent[UpstreamName("e2")], 8) << "one of nine nodes, 20 s";
 }
 
+TEST_F(RelayLimitTest, BrokenStreamNeedNotLeaveAPermitToMoreUrgentRequests)
+{
+    configuration_.routes[1].tier = 3;
+    configure();
+    const RequestId stream = arrive("/live/1");
+    answer(stream);
+    const AttemptId attempt = dispatches(stream).back().attempt;
+    limits_[UpstreamName("e1")] = 27.0;
+    limits_[UpstreamName("e2")] = 27.0;
+    for (int number = 0; number < 4; ++number) {
+        run(milliseconds(500), "/stream/1");
+        system_.progressed({ attempt }, clock_.now());
+    }
+    system_.failed({ attempt, RelayFailure::Kind::Broken }, clock_.now(), commands_);
+    for (Duration passed(0); passed < milliseconds(700); passed += milliseconds(25)) {
+        advance(milliseconds(25));
+        tick();
+    }
+    EXPECT_EQ(dispatches(stream).size(), 1U) << "resumed";
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/upstream_limits_test.cpp
+++ b/tests/servers/relay/upstream_limits_test.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const UpstreamName Server("s1");
+const UpstreamName server("s1");
 
 /** Nodes that all want to send more requests to one server than it takes. */
 class UpstreamLimitsTest : public testing::Test
@@ -96,7 +96,7 @@
     void send(Node &node)
     {
         const TimePoint now = clock_.now();
-        node.limits.noteSent(Server, now);
+        node.limits.noteSent(server, now);
         arrivals_.push_back({ now, node.toldAt.has_value() && now - *node.toldAt >= milliseconds(500) });
         if (serverLimit_.has_value() && !namedAt_.has_value()) {
             namedAt_ = now;
@@ -113,7 +113,7 @@
             while (!answers_.empty() && answers_.front().arrivesAt <= now) {
                 const Answer answer = answers_.front();
                 answers_.pop_front();
-                answer.node->limits.noteAnswer(Server, answer.limit, answer.sentAt, now);
+                answer.node->limits.noteAnswer(server, answer.limit, answer.sentAt, now);
                 if (answer.limit.has_value() && !answer.node->toldAt.has_value()) {
                     answer.node->toldAt = now;
                 }
@@ -126,7 +126,7 @@
                 }
                 node->backlog = std::min(20.0, node->backlog + node->demand * 0.025 * 2.0 * random_.fraction());
                 while (node->backlog >= 1.0
-                       && (!node->limits.isLimited(Server) || node->limits.permits(Server, now).count > 0)) {
+                       && (!node->limits.isLimited(server) || node->limits.permits(server, now).count > 0)) {
                     node->backlog -= 1.0;
                     send(*node);
                 }
@@ -164,7 +164,7 @@
     std::size_t limitedNodes() const
     {
         return static_cast<std::size_t>(std::count_if(
-            nodes_.begin(), nodes_.end(), [](const auto &node) { return node->limits.isLimited(Server); }));
+            nodes_.begin(), nodes_.end(), [](const auto &node) { return node->limits.isLimited(server); }));
     }
 
     static std::size_t allowed(double limit) { return static_cast<std::size_t>(limit * 4.0 * 1.5 + 5.0); }
@@ -257,7 +257,7 @@
         restart(index);
         nodes_[index]->demand = 0.0;
         run(milliseconds(1100));
-        EXPECT_TRUE(nodes_[index]->limits.isLimited(Server)) << index;
+        EXPECT_TRUE(nodes_[index]->limits.isLimited(server)) << index;
     }
 }
 
@@ -305,17 +305,17 @@
     UpstreamLimits &limits = nodes_[0]->limits;
     const TimePoint before = clock_.now();
     clock_.advance(milliseconds(50));
-    limits.noteAnswer(Server, 3.0, before, clock_.now());
+    limits.noteAnswer(server, 3.0, before, clock_.now());
     clock_.advance(milliseconds(10));
-    limits.noteAnswer(Server, std::nullopt, before, clock_.now());
-    EXPECT_TRUE(limits.isLimited(Server));
-    limits.noteAnswer(Server, 8.0, before, clock_.now());
-    EXPECT_EQ(limits.rate(Server), 3.0);
-    limits.noteAnswer(Server, 2.0, before, clock_.now());
-    EXPECT_EQ(limits.rate(Server), 2.0) << "of two statements with an unknown order the stricter one holds";
+    limits.noteAnswer(server, std::nullopt, before, clock_.now());
+    EXPECT_TRUE(limits.isLimited(server));
+    limits.noteAnswer(server, 8.0, before, clock_.now());
+    EXPECT_EQ(limits.rate(server), 3.0);
+    limits.noteAnswer(server, 2.0, before, clock_.now());
+    EXPECT_EQ(limits.rate(server), 2.0) << "of two statements with an unknown order the stricter one holds";
     clock_.advance(milliseconds(10));
-    limits.noteAnswer(Server, std::nullopt, clock_.now(), clock_.now());
-    EXPECT_FALSE(limits.isLimited(Server));
+    limits.noteAnswer(server, std::nullopt, clock_.now(), clock_.now());
+    EXPECT_FALSE(limits.isLimited(server));
 }
 
 TEST_F(UpstreamLimitsTest, LimitOfZeroStillLetsTheEndBeFound)
@@ -331,7 +331,7 @@
 TEST_F(UpstreamLimitsTest, ChangesNameTheirSource)
 {
     start(2);
-    nodes_[0]->limits.noteAnswer(Server, 3.0, clock_.now(), clock_.now());
+    nodes_[0]->limits.noteAnswer(server, 3.0, clock_.now(), clock_.now());
     clock_.advance(milliseconds(5));
     nodes_[1]->limits.receive({ nodes_[0]->name, nodes_[0]->limits.takeNews(clock_.now()) }, clock_.now());
     const std::vector<LimitChange> changes = nodes_[1]->limits.takeChanges();
--- a/tests/system/relay_soak_test.cpp
+++ b/tests/system/relay_soak_test.cpp
@@ -28,6 +28,9 @@
 /** Requests that may reach a server from one node between PauseSlack after it asked for a pause and the pause's end. */
 constexpr int MaxPausedArrivals = 2;
 constexpr milliseconds PauseSlack(500);
+/** A node knows a limit from so long after it has passed on an answer that names it. */
+constexpr milliseconds LimitSlack(500);
+constexpr milliseconds MaxLimitTime(3000);
 constexpr milliseconds HeartbeatPeriod(400);
 /** Time from a server's crash to its next start. */
 constexpr milliseconds RestartTime(300);
@@ -62,6 +65,19 @@
     SteadyTime at;
 };
 
+/** A server has limited its requests for a while, shorter than the four seconds for which a limit counts. */
+struct LimitPeriod
+{
+    std::size_t server = 0;
+    double perSecond = 0.0;
+    SteadyTime from;
+    SteadyTime until;
+    /** When each node first passed on an answer that names the limit. */
+    std::map<NodeLife, SteadyTime> toldAt;
+
+    std::size_t allowed() const { return static_cast<std::size_t>(perSecond * 4.0 * 1.5 + 5.0); }
+};
+
 struct SoakCall
 {
     std::string id;
@@ -87,6 +103,7 @@
         // Later additions draw from a source of their own, so that earlier seeds go on playing the same faults.
         laterRandom_ = std::make_unique<RandomSource>(seed + 1000000);
         enginesCrash_ = laterRandom_->below(2) == 0;
+        limitRandom_ = std::make_unique<RandomSource>(seed + 2000000);
         keys_ = "\"key-one\",\"key-two\"";
         ++version_;
         writeConfiguration();
@@ -105,6 +122,7 @@
         while (std::chrono::steady_clock::now() < end) {
             startCall();
             startLaterFault();
+            startLimit();
             if (std::chrono::steady_clock::now() >= nextFault) {
                 startFault();
                 nextFault += milliseconds(200 + random_->below(500));
@@ -119,6 +137,7 @@
         checkLedger();
         checkLeaving();
         checkPauses();
+        checkLimits();
     }
 
     void startCall()
@@ -186,6 +205,24 @@
         }
     }
 
+    /** One server at a time limits its requests. */
+    void startLimit()
+    {
+        const SteadyTime now = std::chrono::steady_clock::now();
+        const bool isLimited = !limits_.empty() && now < limits_.back().until + MaxLimitTime;
+        if (isLimited || limitRandom_->below(60) != 0) {
+            return;
+        }
+        LimitPeriod period;
+        period.server = limitRandom_->below(servers_.size());
+        period.perSecond = 1.0 + limitRandom_->fraction();
+        period.from = now;
+        period.until = now + MaxLimitTime / 2 + milliseconds(limitRandom_->below(MaxLimitTime.count() / 2));
+        servers_[period.server]->limit(std::to_string(period.perSecond));
+        faultEnds_.emplace(period.until, [this, server = period.server]() { servers_[server]->limit(""); });
+        limits_.push_back(std::move(period));
+    }
+
     /** Starts servers again some time after their crash. Each serves before its next heartbeat registers it. */
     void startCrashedServers()
     {
@@ -389,6 +426,7 @@
         std::string bytes = call.connection->received();
         const ReceivedResponse answer = takeResponse(bytes);
         noteLeaving(call, answer);
+        noteLimit(call, answer);
         if (call.disconnectsEarly && !bytes.empty()) {
             call.connection->close();
             call.finished = true;
@@ -426,6 +464,17 @@
         }
     }
 
+    void noteLimit(const SoakCall &call, const ReceivedResponse &answer)
+    {
+        if (limits_.empty() || answer.head.find("Server-Limit: ") == std::string::npos) {
+            return;
+        }
+        LimitPeriod &period = limits_.back();
+        if (answer.head.find("Instance-Id: " + names_[period.server] + "\r\n") != std::string::npos) {
+            period.toldAt.try_emplace(call.node, std::chrono::steady_clock::now());
+        }
+    }
+
     /** Ends all faults. Every node must become ready and serve again, and every call must end. */
     void recover()
     {
@@ -525,6 +574,22 @@
         }
     }
 
+    void checkLimits()
+    {
+        for (const LimitPeriod &period : limits_) {
+            std::size_t arrived = 0;
+            for (const ServerArrival &arrival : servers_[period.server]->arrivals()) {
+                const SoakCall *call = callOf(arrival);
+                const auto told = call == nullptr ? period.toldAt.end() : period.toldAt.find(call->node);
+                const bool counts =
+                    told != period.toldAt.end() && arrival.at >= told->second + LimitSlack && arrival.at < period.until;
+                arrived += counts ? 1 : 0;
+            }
+            limitedArrivals_ += arrived;
+            EXPECT_LE(arrived, period.allowed()) << names_[period.server] << " limits to " << period.perSecond;
+        }
+    }
+
     const std::size_t nodeCount_ = numberFrom("GERANIUM_SOAK_NODES", 3);
     const std::vector<std::string> streamFaults_ {
         "cut=2", "cut=2 hard", "short=2", "unframed", "unframed cut=2", "unframed cut=2 hard", "unframed stop=0",
@@ -536,6 +601,9 @@
     const std::vector<std::string> names_ { "p1", "p2", "e1", "e2" };
     std::unique_ptr<RandomSource> random_;
     std::unique_ptr<RandomSource> laterRandom_;
+    std::unique_ptr<RandomSource> limitRandom_;
+    std::deque<LimitPeriod> limits_;
+    std::size_t limitedArrivals_ = 0;
     bool enginesCrash_ = false;
     std::vector<SteadyTime> crashedAt_ = std::vector<SteadyTime>(names_.size());
     int idleRoutes_ = 0;
@@ -564,7 +632,8 @@
         served += call.status == 200 ? 1 : 0;
     }
     std::cout << "seed " << GetParam() << ": " << calls_.size() << " calls, " << served << " answered with 200, "
-              << leavingSeen_.size() << " by leaving servers\n";
+              << leavingSeen_.size() << " by leaving servers, " << limitedArrivals_ << " sent in " << limits_.size()
+              << " limits\n";
     EXPECT_GT(served, 20);
 }
 
