Release prompt parts that a quarantined request accounts for

Sound requests that shared a prompt part with a crashing one were refused for ten seconds and more.

Cause: a node may hear of the crashes under a part before it hears of those under the whole request, since reports hold eight suspects each. The part was quarantined first, and the request's quarantine took its crashes only from parts that were not quarantined yet.

Change: the quarantine of a request takes its crashes from all parts, and releases those without any other. The store's list does not bring such a part back before it has been corrected; crashes under other requests still do.

--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -280,7 +280,8 @@
 {
     for (const auto &[part, crashes] : stored.crashes) {
         const auto found = suspects_.find(part);
-        if (found != suspects_.end() && found->second.clearedAt.has_value()) {
+        if (found != suspects_.end()
+            && (found->second.clearedAt.has_value() || found->second.exoneratedAt.has_value())) {
             continue;
         }
         Suspect &suspect = suspectOf(part, now);
@@ -456,18 +457,31 @@
 void PromptQuarantine::quarantine(std::uint64_t part, Suspect &suspect, TimePoint now)
 {
     suspect.quarantined = true;
+    suspect.exoneratedAt.reset();
     suspect.changedAt = now;
     suspect.blockedUntil = now;
     postponeTrial(suspect, now);
     noteQuarantineChanged(part, suspect);
     for (auto &[other, otherSuspect] : suspects_) {
-        if (other != part && !otherSuspect.quarantined && !otherSuspect.isRequest) {
-            std::erase_if(otherSuspect.crashes,
-                          [&suspect](const auto &crash) { return suspect.crashes.count(crash.first) != 0; });
+        if (other != part && !otherSuspect.isRequest && (suspect.isRequest || !otherSuspect.quarantined)) {
+            exonerate(other, otherSuspect, suspect, now);
         }
     }
 }
 
+void PromptQuarantine::exonerate(std::uint64_t part, Suspect &suspect, const Suspect &culprit, TimePoint now)
+{
+    std::erase_if(suspect.crashes, [&culprit](const auto &crash) { return culprit.crashes.count(crash.first) != 0; });
+    if (!suspect.quarantined || suspect.crashCount() != 0) {
+        return;
+    }
+    suspect.quarantined = false;
+    suspect.trialAt.reset();
+    suspect.exoneratedAt = now;
+    suspect.changedAt = now;
+    noteQuarantineChanged(part, suspect);
+}
+
 void PromptQuarantine::noteQuarantineChanged(std::uint64_t part, const Suspect &suspect)
 {
     ++revision_;
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -134,6 +134,8 @@
         /** Number of further crashes that the store knows of. */
         std::uint32_t storedCrashes = 0;
         std::optional<TimePoint> clearedAt;
+        /** When its quarantine ended because a whole request accounted for all crashes. */
+        std::optional<TimePoint> exoneratedAt;
         std::optional<TimePoint> trialAt;
         /** Number of trials that are known of. */
         std::uint32_t trials = 0;
@@ -176,6 +178,8 @@
     /** Quarantines those of the parts that now account for enough crashes. */
     void judge(std::vector<std::uint64_t> parts, TimePoint now);
     void quarantine(std::uint64_t part, Suspect &suspect, TimePoint now);
+    /** Takes the crashes that the culprit accounts for from a part, which is released if no other is left. */
+    void exonerate(std::uint64_t part, Suspect &suspect, const Suspect &culprit, TimePoint now);
     void noteQuarantineChanged(std::uint64_t part, const Suspect &suspect);
     void postponeTrial(Suspect &suspect, TimePoint from);
 
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -281,6 +281,32 @@
     EXPECT_FALSE(isBlocked(sound()));
 }
 
+TEST_F(PromptQuarantineTest, PartThatBecameKnownBeforeTheCrashingRequestIsReleasedWithIt)
+{
+    PromptInfo request = promptOf({ SharedPart, SoundPart, ++lastOwn_ });
+    crashTimes(3, request);
+    ASSERT_TRUE(isBlocked(sound())) << "the part accounts for all crashes that are known yet";
+    StoredQuarantine stored;
+    stored.crashes[SoundPart] = 3;
+    request.fingerprint = CrashingRequest;
+    CrashReport report { NodeName("other"), {} };
+    report.suspects.push_back({ CrashingRequest, 2, false, {}, std::nullopt, std::nullopt });
+    for (const SuspectReport &known : quarantine_.report(clock_.now())) {
+        if (known.part == SoundPart) {
+            report.suspects[0].crashes = known.crashes;
+        }
+    }
+    quarantine_.receive(report, clock_.now());
+    EXPECT_TRUE(isBlocked(request));
+    EXPECT_FALSE(isBlocked(sound()));
+    const auto first = [](std::uint64_t) { return std::size_t(0); };
+    const QuarantineUpdate update = quarantine_.reconcile(stored, first, clock_.now());
+    EXPECT_FALSE(isBlocked(sound())) << "the store does not know yet";
+    EXPECT_EQ(update.removed, std::vector<std::uint64_t> { SoundPart });
+    crashTimes(3, sound());
+    EXPECT_TRUE(isBlocked(sound())) << "other requests crash, too";
+}
+
 TEST_F(PromptQuarantineTest, SoundRequestThatWasAtEachCrashIsServedSoonAfter)
 {
     for (int number = 0; number < 3; ++number) {
