Look again at what allows a request when it is sent after a wait

A process that had been paused for seconds sent requests that had waited in its queue meanwhile, with a caller's key that could have been removed, and after their time was over: at its wake an answer that had already arrived served the queue before any timer ran. The same held for a stream that was taken up while other nodes were asked, and for a connection that had been opening all the while.

Cause: the age of what is known about keys, the wait and the deadline were looked at when the request arrived and by the timer, not when it was sent. Ruled out: requests that arrive after the wake, whose keys are checked on a clock that counts the pause.

Change: RelaySystem::obstacleOf() is asked before each placing; an exchange whose connection took longer than a second to open sends nothing.

--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -69,6 +69,9 @@
     return type.empty() ? streamed : boost::beast::iequals(type.substr(0, EventStreamType.size()), EventStreamType);
 }
 
+/** Even a process that is short of processor time notices sooner that a connection is established. */
+constexpr std::chrono::seconds MaxConnectTime(1);
+
 } // namespace
 
 RelayExchange::RelayExchange(boost::asio::io_context &context,
@@ -135,6 +138,7 @@
     connection_ = std::make_shared<ClientConnection>(context_, dispatch_.address);
     connection_->setPrecedingLoss(pool_->lastLoss(dispatch_.address));
     connecting_ = true;
+    connectStartedAt_ = BootClock().now();
     timer_.expires_after(UpstreamConnectTimeout);
     timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         // An expired timer can no longer be cancelled, although the connection may have been established since.
@@ -158,6 +162,11 @@
         fail(RelayFailure::Kind::NotConnected);
         return;
     }
+    // If the process was paused meanwhile, what allowed the request to be sent may no longer hold.
+    if (BootClock().now() - connectStartedAt_ > MaxConnectTime) {
+        fail(RelayFailure::Kind::NotConnected);
+        return;
+    }
     boost::system::error_code ignored;
     connection_->socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     send();
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -101,6 +101,8 @@
     /** Body of a response that is forwarded only once it is complete. */
     std::string bufferedBody_;
     bool connecting_ = false;
+    /** On a clock that includes time during which the machine was suspended. */
+    TimePoint connectStartedAt_;
     bool pooled_ = false;
     bool headParsed_ = false;
     bool headForwarded_ = false;
--- a/servers/relay/relay_admission.cpp
+++ b/servers/relay/relay_admission.cpp
@@ -60,6 +60,7 @@
     row.traits = table->pool(row.pool);
     row.arrivedAt = now;
     row.deadline = now + std::min(request.deadline.value_or(route->timeout), route->timeout);
+    row.waitUntil = row.deadline;
     return row;
 }
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -209,18 +209,26 @@
     serveQueue(queueKey, now, commands);
 }
 
-bool RelaySystem::refuseQuarantined(RelayRow &row, TimePoint now, RelayCommands &commands)
+std::optional<ResultCode> RelaySystem::obstacleOf(const RelayRow &row, TimePoint now) const
 {
-    if (quarantine_.blockedFor(row.request.prompt, now) <= Duration(0)) {
-        return false;
+    if (quarantine_.blockedFor(row.request.prompt, now) > Duration(0)) {
+        return ResultCode::PromptQuarantined;
     }
-    giveUp(row, ResultCode::PromptQuarantined, now, commands);
-    return true;
+    if (now >= row.deadline || (row.phase == RelayPhase::Waiting && now >= row.waitUntil)) {
+        return row.mayHaveRun ? row.lastFailure : ResultCode::Shed;
+    }
+    const Duration keyAge = fleet_.configuration().age(now).value_or(Duration::max());
+    if (!row.mayHaveRun && !row.team.empty() && keyAge > settings_.stalenessLimits.keyLifetime) {
+        return ResultCode::ConfigurationOutdated;
+    }
+    return std::nullopt;
 }
 
 void RelaySystem::place(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
-    if (refuseQuarantined(row, now, commands)) {
+    const std::optional<ResultCode> obstacle = obstacleOf(row, now);
+    if (obstacle.has_value()) {
+        giveUp(row, *obstacle, now, commands);
         return;
     }
     if (queues_[row.queueKey].maxAhead(row.tier) == 0 && tryPlace(row, now, commands)) {
@@ -354,9 +362,10 @@
     RelayQueue &queue = found->second;
     for (const RequestId &next : queue.first(MaxPlacementAttempts)) {
         RelayRow &row = *rows_.edit(next);
-        if (quarantine_.blockedFor(row.request.prompt, now) > Duration(0)) {
+        const std::optional<ResultCode> obstacle = obstacleOf(row, now);
+        if (obstacle.has_value()) {
             leaveQueue(row);
-            refuseQuarantined(row, now, commands);
+            giveUp(row, *obstacle, now, commands);
             continue;
         }
         if (tryPlace(row, now, commands)) {
@@ -372,7 +381,6 @@
 void RelaySystem::locateStream(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     row.phase = RelayPhase::Locating;
-    row.waitUntil = row.deadline;
     locator_.startSearch(row, now, commands);
     handleLocatedStreams(now, commands);
 }
@@ -631,14 +639,14 @@
         return;
     }
     const bool isQuarantined = code == ResultCode::PromptQuarantined;
+    const char *message = isQuarantined             ? "upstreams crash under this request"
+        : code == ResultCode::ConfigurationOutdated ? "the configuration is too old to validate keys"
+                                                    : "no upstream has free capacity";
     const Duration retryAfter =
         isQuarantined ? quarantine_.blockedFor(row.request.prompt, now) : retryAfterOf(row, code, now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
-    commands.emplace_back(RelayRefusal {
-        request,
-        { final, isQuarantined ? "upstreams crash under this request" : "no upstream has free capacity", retryAfter },
-        Outcome::NotRun });
+    commands.emplace_back(RelayRefusal { request, { final, message, retryAfter }, Outcome::NotRun });
 }
 
 Duration RelaySystem::retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now)
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -152,8 +152,9 @@
     void noteAnswered(const RelayRow &row, TimePoint now);
     /** Tells other nodes what has become known about crashes. */
     void shareCrashReports(TimePoint now, RelayCommands &commands);
-    /** Gives the request up, and returns true, if upstreams crash under a part of its prompt. */
-    bool refuseQuarantined(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Why the request may not be sent to any upstream; absent if it may. Some time can have passed since it was
+     *  admitted, all the more if the process was paused. */
+    std::optional<ResultCode> obstacleOf(const RelayRow &row, TimePoint now) const;
     /** Sends the request to an upstream, queues it, or gives it up. */
     void place(RelayRow &row, TimePoint now, RelayCommands &commands);
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -515,6 +515,56 @@
     EXPECT_EQ(refusals(request)[0].error.code, ResultCode::NoUpstream);
 }
 
+TEST_F(RelaySystemTest, ProcessThatWasPausedSendsNothingThatWaitedTooLong)
+{
+    configure();
+    std::vector<RequestId> running;
+    RequestId waiting;
+    while (dispatches(waiting = arrive("/once/1")).size() == 1) {
+        running.push_back(waiting);
+    }
+    ASSERT_TRUE(refusals(waiting).empty());
+    for (const Duration pause : { milliseconds(500), milliseconds(6000), milliseconds(20000) }) {
+        SCOPED_TRACE(toMilliseconds(pause));
+        if (dispatches(waiting).empty() && refusals(waiting).empty()) {
+            advance(pause);
+            // The response was already there when the process went on; its timers follow.
+            end(running.back());
+        }
+        EXPECT_TRUE(dispatches(waiting).empty());
+        ASSERT_EQ(refusals(waiting).size(), 1U);
+        EXPECT_EQ(refusals(waiting)[0].outcome, Outcome::NotRun);
+    }
+}
+
+TEST_F(RelaySystemTest, UpstreamWhoseEntryLapsesFinishesWhatItRuns)
+{
+    configure();
+    const RequestId once = arrive("/once/1");
+    const RequestId stream = arrive("/stream/1");
+    answer(stream);
+    const std::vector<UpstreamEntry> all = upstreams_;
+    upstreams_.clear();
+    for (int second = 0; second < 5; ++second) {
+        advance(seconds(1));
+        readStore();
+        system_.progressed({ dispatches(stream)[0].attempt }, clock_.now());
+        tick();
+    }
+    for (const RequestId &request : { once, stream }) {
+        EXPECT_EQ(dispatches(request).size(), 1U);
+        EXPECT_FALSE(cancelled(dispatches(request)[0].attempt));
+        EXPECT_TRUE(refusals(request).empty());
+        EXPECT_FALSE(broken(request));
+    }
+    upstreams_ = all;
+    readStore();
+    answer(once);
+    end(once);
+    end(stream);
+    EXPECT_EQ(system_.inFlight(), 0U);
+}
+
 TEST_F(RelaySystemTest, DrainingNodeRejectsNewRequestsAndFinishesOthers)
 {
     configure();
--- a/tests/servers/relay/stream_resumption_test.cpp
+++ b/tests/servers/relay/stream_resumption_test.cpp
@@ -379,6 +379,17 @@
     EXPECT_TRUE(dispatches(request).empty());
 }
 
+TEST_F(StreamResumptionTest, StreamIsNotTakenUpWithAKeyThatWasNotCheckedForLong)
+{
+    const RequestId request = takeUp("begun");
+    // The process was paused; the answer of the other node has been waiting.
+    advance(seconds(6));
+    reply("node-1", "begun", first_);
+    EXPECT_TRUE(dispatches(request).empty());
+    ASSERT_EQ(refusals(request).size(), 1U);
+    EXPECT_EQ(refusals(request)[0].outcome, Outcome::NotRun);
+}
+
 TEST_F(StreamResumptionTest, CallerMayLeaveDuringTheLookup)
 {
     const RequestId request = takeUp("begun");
