Keep one unexpected error from taking the whole process down

An exception that left a handler of the event loop ended the process, and with it the requests of all callers. No message is known that causes one.

Change: the loop goes on after a handler that throws, and a command that throws does not keep the others from being carried out; both are logged (event=unexpected_error).

--- a/drivers/http/http.h
+++ b/drivers/http/http.h
@@ -5,6 +5,7 @@
 #include "drivers/http/connection_pool.h"
 #include "drivers/http/endpoint.h"
 #include "drivers/http/error_body.h"
+#include "drivers/http/guarded_run.h"
 #include "drivers/http/http_client.h"
 #include "drivers/http/key_hash.h"
 #include "drivers/http/listener.h"
--- a/main/geraniumlever/geraniumlever_main.cpp
+++ b/main/geraniumlever/geraniumlever_main.cpp
@@ -15,6 +15,7 @@
 #include <glog/logging.h>
 
 #include "core/core.h"
+#include "drivers/http/http.h"
 #include "drivers/settings/settings.h"
 #include "main/node/node.h"
 #include "main/relay/relay.h"
@@ -41,6 +42,11 @@
     google::InitGoogleLogging(program);
 }
 
+void reportUnexpected(const std::exception &error)
+{
+    LOG(ERROR) << "event=unexpected_error message=\"" << error.what() << '"';
+}
+
 /** Stops the node on a signal, then waits for the next one; a second SIGTERM has no effect. */
 template<typename Node>
 void awaitStopSignal(boost::asio::signal_set &signals, Node &node)
@@ -66,7 +72,7 @@
     }
     LOG(INFO) << "event=started node=" << settings.node.text() << " data_center=" << settings.dataCenter.text();
     awaitStopSignal(signals, node);
-    context.run();
+    runGuarded(context, reportUnexpected);
     return Stopped;
 }
 
@@ -148,7 +154,7 @@
     awaitStopSignal(signals, node);
     SettingsWatcher watcher(context, path, node);
     watcher.start();
-    context.run();
+    runGuarded(context, reportUnexpected);
     return Stopped;
 }
 
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -269,7 +269,7 @@
         while (!pendingCommands.empty()) {
             const RelayCommand command = std::move(pendingCommands.front());
             pendingCommands.pop_front();
-            std::visit([this](const auto &value) { this->run(value); }, command);
+            execute(command);
         }
         executingCommands = false;
         for (const RelayRequestMetrics &measured : system.takeRequestMetrics()) {
@@ -278,6 +278,16 @@
         log.flush();
     }
 
+    /** A command that fails unexpectedly must not keep the others from being carried out. */
+    void execute(const RelayCommand &command)
+    {
+        try {
+            std::visit([this](const auto &value) { this->run(value); }, command);
+        } catch (const std::exception &error) {
+            LOG(ERROR) << "event=unexpected_error command=" << command.index() << " message=\"" << error.what() << '"';
+        }
+    }
+
     void run(const RelayDispatch &command)
     {
         const auto found = calls.find(command.request);
--- a/tests/system/relay_soak_test.cpp
+++ b/tests/system/relay_soak_test.cpp
@@ -9,7 +9,10 @@
 #include <map>
 #include <set>
 
+#include <boost/asio/ip/udp.hpp>
+
 #include "development/soak/soak.h"
+#include "tests/development/mutation.h"
 #include "tests/system/relay_process_fixture.h"
 
 namespace GeraniumLever {
@@ -104,6 +107,7 @@
         laterRandom_ = std::make_unique<RandomSource>(seed + 1000000);
         enginesCrash_ = laterRandom_->below(2) == 0;
         limitRandom_ = std::make_unique<RandomSource>(seed + 2000000);
+        damageRandom_ = std::make_unique<RandomSource>(seed + 3000000);
         keys_ = "\"key-one\",\"key-two\"";
         ++version_;
         writeConfiguration();
@@ -123,6 +127,7 @@
             startCall();
             startLaterFault();
             startLimit();
+            sendDamaged();
             if (std::chrono::steady_clock::now() >= nextFault) {
                 startFault();
                 nextFault += milliseconds(200 + random_->below(500));
@@ -223,6 +228,44 @@
         limits_.push_back(std::move(period));
     }
 
+    /** Damaged requests, datagrams and rows. No process may end because of them; recover() finds out. */
+    void sendDamaged()
+    {
+        if (damageRandom_->below(12) != 0) {
+            return;
+        }
+        const RelayProcess &process = processes_[damageRandom_->below(nodeCount_)];
+        const std::string id = "d" + std::to_string(++damagedMessages_);
+        const std::string sound = request(id, "POST", "/live/" + id, "body", "Stand-In: events=2\r\n");
+        constexpr const char *Tables[] = { "servers", "relays", "quarantine", "versions", "streams" };
+        switch (damageRandom_->below(3)) {
+        case 0:
+            try {
+                const std::shared_ptr<RawConnection> connection = connectTo(process.callerAddress);
+                connection->send(mutated(sound, *damageRandom_));
+                connection->close();
+            } catch (const std::exception &) {
+                return; // The node is down.
+            }
+            break;
+        case 1: {
+            boost::asio::ip::udp::socket socket(loop_.context(), boost::asio::ip::udp::v4());
+            const int port = std::stoi(process.peerAddress.substr(process.peerAddress.rfind(':') + 1));
+            boost::system::error_code ignored;
+            socket.send_to(boost::asio::buffer(mutated(std::string(64, '\0') + sound, *damageRandom_)),
+                           { boost::asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port) },
+                           0,
+                           ignored);
+            break;
+        }
+        default:
+            store_.put(Tables[damageRandom_->below(std::size(Tables))],
+                       "damaged-" + std::to_string(damageRandom_->below(3)),
+                       mutated(servers_[0]->registration("ready"), *damageRandom_).substr(0, 40));
+            break;
+        }
+    }
+
     /** Starts servers again some time after their crash. Each serves before its next heartbeat registers it. */
     void startCrashedServers()
     {
@@ -602,6 +645,8 @@
     std::unique_ptr<RandomSource> random_;
     std::unique_ptr<RandomSource> laterRandom_;
     std::unique_ptr<RandomSource> limitRandom_;
+    std::unique_ptr<RandomSource> damageRandom_;
+    int damagedMessages_ = 0;
     std::deque<LimitPeriod> limits_;
     std::size_t limitedArrivals_ = 0;
     bool enginesCrash_ = false;
