--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -19,6 +19,7 @@
     std::optional<std::uint64_t> cut;
     std::optional<std::uint64_t> shortAfter;
     std::optional<std::uint64_t> stopAfter;
+    std::optional<std::uint64_t> trickleAfter;
     bool unframed = false;
     bool resets = false;
     bool leaving = false;
@@ -50,6 +51,8 @@
             script.shortAfter = numberOf(word);
         } else if (word.starts_with("stop=") && applies) {
             script.stopAfter = numberOf(word);
+        } else if (word.starts_with("trickle=") && applies) {
+            script.trickleAfter = numberOf(word);
         } else if (word.starts_with("pause=") && applies) {
             script.pause = word.substr(word.find('=') + 1);
             script.fault = "full";
@@ -308,12 +311,27 @@
             job->breakOff();
             return;
         }
+        if (reached(script.trickleAfter)) {
+            trickle(job);
+            return;
+        }
         job->sendPiece(event);
         ++job->nextEvent;
         sendNextEvent(job);
     });
 }
 
+void ServerStandIn::trickle(const std::shared_ptr<Job> &job)
+{
+    job->sendPiece("x");
+    job->timer.expires_after(std::chrono::milliseconds(30));
+    job->timer.async_wait([this, job](const boost::system::error_code &error) {
+        if (!error && !job->over) {
+            trickle(job);
+        }
+    });
+}
+
 void ServerStandIn::sendEndlessly(const std::shared_ptr<Job> &job)
 {
     constexpr std::size_t PieceBytes = 8 * 1024;
@@ -366,6 +384,14 @@
         return;
     }
     job->session->finish();
+    if (script.fault == "late") {
+        job->timer.expires_after(std::chrono::milliseconds(40));
+        job->timer.async_wait([job, answer](const boost::system::error_code &error) {
+            if (!error) {
+                job->session->send(answer);
+            }
+        });
+    }
 }
 
 } // namespace GeraniumLever
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -140,6 +140,8 @@
                   bool leaving);
     void run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
     void sendNextEvent(const std::shared_ptr<Job> &job);
+    /** Goes on with single bytes of an event that never ends. */
+    void trickle(const std::shared_ptr<Job> &job);
     void sendEndlessly(const std::shared_ptr<Job> &job);
     void crashSoon(const std::shared_ptr<Job> &job);
     /** The job no longer counts as running. */
--- a/tests/system/relay_process_test.cpp
+++ b/tests/system/relay_process_test.cpp
@@ -85,6 +85,84 @@
     EXPECT_EQ(takeResponse(bytes).body, standInEvents("/stream/1", "prompt", 60));
 }
 
+TEST_F(RelayProcessTest, StopUnderLoadAnswersEveryRequestThatItHasRead)
+{
+    RelayProcess &process = addProcess();
+    struct Call
+    {
+        std::shared_ptr<RawConnection> connection;
+        std::chrono::steady_clock::time_point sentAt;
+        std::string path;
+        int answered = 0;
+    };
+    // Callers send the next request as soon as they have their answer; new ones come until nobody listens.
+    std::deque<Call> calls;
+    int lastRequest = 0;
+    const auto send = [&](Call &call) {
+        const std::string id = "u" + std::to_string(++lastRequest);
+        const bool isRead = lastRequest % 2 == 0;
+        call.path = (isRead ? "/read/" : "/once/") + id;
+        call.sentAt = std::chrono::steady_clock::now();
+        call.connection->forget();
+        call.connection->send(request(id, isRead ? "GET" : "POST", call.path, "", "Stand-In: gap=15\r\n"));
+    };
+    const auto start = [&]() {
+        try {
+            calls.push_back({ connectTo(process.callerAddress), {}, "", 0 });
+            send(calls.back());
+        } catch (const std::exception &) {
+            return; // Nobody listens any more.
+        }
+    };
+    int cutAfterReading = 0;
+    const auto check = [&]() {
+        for (Call &call : calls) {
+            std::string bytes = call.connection->received();
+            const ReceivedResponse answer = takeResponse(bytes);
+            if (answer.bodyComplete) {
+                ++call.answered;
+                if (answer.status == 200) {
+                    EXPECT_EQ(answer.body,
+                              standInBody(call.path.starts_with("/read/") ? "GET" : "POST", call.path, ""));
+                }
+                const bool closes = answer.head.find("Connection: close") != std::string::npos;
+                closes || call.connection->ended() ? call.connection->close() : send(call);
+            }
+        }
+        std::erase_if(calls, [&](const Call &call) {
+            if (!call.connection->ended()) {
+                return false;
+            }
+            std::string bytes = call.connection->received();
+            const bool isUnanswered = !takeResponse(bytes).bodyComplete;
+            const auto age = std::chrono::steady_clock::now() - call.sentAt;
+            cutAfterReading += isUnanswered && age > milliseconds(200) ? 1 : 0;
+            return true;
+        });
+    };
+    const std::chrono::steady_clock::time_point stopAt = std::chrono::steady_clock::now() + milliseconds(800);
+    bool stopped = false;
+    ASSERT_TRUE(runUntil([&]() {
+        if (!stopped && std::chrono::steady_clock::now() >= stopAt) {
+            stopped = true;
+            process.child->signal(SIGTERM);
+        }
+        for (int number = 0; number < 3 && calls.size() < 40; ++number) {
+            start();
+        }
+        runFor(milliseconds(10));
+        check();
+        return process.child->exitCode().has_value();
+    }));
+    check();
+    EXPECT_EQ(process.child->exitCode(), 0);
+    EXPECT_GT(lastRequest, 100);
+    EXPECT_EQ(cutAfterReading, 0);
+    for (const auto &[id, runs] : ledger_) {
+        EXPECT_TRUE(runs.size() == 1U || runs[0].target.starts_with("/read/")) << id;
+    }
+}
+
 TEST_F(RelayProcessTest, KilledNodeServesAfterRestartAndRepeatsNoCall)
 {
     RelayProcess &process = addProcess();
