--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -1,5 +1,6 @@
 #include "drivers/peers/peer_codec.h"
 
+#include <algorithm>
 #include <cstring>
 
 #include <capnp/message.h>
@@ -11,9 +12,17 @@
 
 namespace {
 
+/** Bounds times of damaged datagrams, so that no sum of them overflows. */
+constexpr std::int64_t MaxMicroseconds = 100'000'000'000'000'000;
+
+Duration durationOf(std::int64_t microseconds)
+{
+    return Duration(std::clamp(microseconds, -MaxMicroseconds, MaxMicroseconds));
+}
+
 TimePoint timeOf(std::int64_t microseconds)
 {
-    return TimePoint(Duration(microseconds));
+    return TimePoint(durationOf(microseconds));
 }
 
 std::string textOf(capnp::Text::Reader reader)
@@ -28,11 +37,11 @@
     report.incarnation = reader.getIncarnation();
     report.sequence = reader.getSequence();
     report.configuration = { ConfigurationVersion(reader.getConfiguration()), reader.getConfigurationDigest() };
-    report.configurationAge = Duration(reader.getConfigurationAge());
+    report.configurationAge = durationOf(reader.getConfigurationAge());
     report.sentAt = timeOf(reader.getSentAt());
     report.sentAfter = timeOf(reader.getSentAfter());
     report.storeEra.era = reader.getStoreEra();
-    report.storeEra.age = Duration(reader.getStoreEraAge());
+    report.storeEra.age = durationOf(reader.getStoreEraAge());
     report.storeEra.firstVersion = reader.getStoreFirstVersion();
     return report;
 }
@@ -58,7 +67,7 @@
 
 std::optional<Duration> readAge(std::int64_t microseconds)
 {
-    return microseconds < 0 ? std::nullopt : std::optional<Duration>(microseconds);
+    return microseconds < 0 ? std::nullopt : std::optional<Duration>(durationOf(microseconds));
 }
 
 CrashReport readCrashes(PeerWire::CrashReport::Reader reader)
@@ -71,7 +80,8 @@
         suspect.depth = item.getDepth();
         suspect.hadAnswers = item.getHadAnswers();
         for (const PeerWire::SuspectedCrash::Reader crash : item.getCrashes()) {
-            suspect.crashes.push_back({ crash.getUpstream(), Duration(crash.getAge()), Duration(crash.getSentAge()) });
+            suspect.crashes.push_back(
+                { crash.getUpstream(), durationOf(crash.getAge()), durationOf(crash.getSentAge()) });
         }
         suspect.clearedAge = readAge(item.getClearedAge());
         suspect.trialAge = readAge(item.getTrialAge());
@@ -88,8 +98,8 @@
         const double rate = item.getRate();
         report.statements.push_back({ UpstreamName(textOf(item.getUpstream())),
                                       rate >= 0.0 ? std::optional<double>(rate) : std::nullopt,
-                                      FleetTime(Duration(item.getSentAt())),
-                                      FleetTime(Duration(item.getHeardAt())) });
+                                      FleetTime(durationOf(item.getSentAt())),
+                                      FleetTime(durationOf(item.getHeardAt())) });
     }
     return report;
 }
@@ -118,7 +128,7 @@
         return StreamRecord { NodeName(textOf(record.getNode())),
                               textOf(record.getStream()),
                               readOrigin(record.getOrigin()),
-                              Duration(record.getLifetime()) };
+                              durationOf(record.getLifetime()) };
     }
     case PeerWire::Datagram::STREAM_QUERY: {
         const PeerWire::StreamQuery::Reader query = reader.getStreamQuery();
