Tell from the log why streams were late

A late stream left no trace of where its time went: the finish line said when its first part came, not how long its pauses were, nor what the route allows.

--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -171,6 +171,9 @@
     decision.fields.emplace_back("load_age_ms",
                                  placement.loadAge.has_value() ? milliseconds(*placement.loadAge) : "none");
     decision.fields.emplace_back("by_prefix", placement.byPrefix ? "true" : "false");
+    if (row.traits != nullptr && row.traits->engines) {
+        decision.fields.emplace_back("unread", std::to_string(placement.unreadTokens));
+    }
     if (placement.limit.has_value()) {
         decision.fields.emplace_back("limit", std::to_string(*placement.limit));
         decision.fields.emplace_back("limit_age_ms", milliseconds(placement.limitAge));
@@ -221,6 +224,10 @@
     decision.fields.emplace_back("attempts", std::to_string(row.attempts));
     decision.fields.emplace_back("first_ms", row.firstByte.has_value() ? milliseconds(*row.firstByte) : "none");
     decision.fields.emplace_back("total_ms", milliseconds(now - row.arrivedAt));
+    if (row.route->streamed) {
+        decision.fields.emplace_back("gap_ms", milliseconds(row.longestGap));
+        decision.fields.emplace_back("late", row.beganLate() ? "first" : (row.hadLongGap() ? "gap" : "none"));
+    }
     addResponseFields(decision, row);
     return decision;
 }
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -65,6 +65,8 @@
     /** When the last part of the response arrived. */
     TimePoint progressAt;
     std::optional<Duration> firstByte;
+    /** Longest time between two parts of the response. */
+    Duration longestGap { 0 };
     /** True if the response that the caller receives can be resumed at another upstream. */
     bool resumable = false;
     /** Of the last response that was forwarded. */
@@ -106,6 +108,12 @@
     /** Time within which the caller may take the stream up again. */
     Duration streamLifetime() const { return route->timeout * 2; }
 
+    /** True if the first part of the response came after the route's target. */
+    bool beganLate() const { return firstByte.has_value() && *firstByte > route->target; }
+
+    /** True if two parts of the response were further apart than the route's target. */
+    bool hadLongGap() const { return route->gapTarget.has_value() && longestGap > *route->gapTarget; }
+
     std::uint32_t tokens() const { return request.prompt.promptTokens + request.prompt.outputTokens; }
 };
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -519,6 +519,7 @@
     RelayRow *row = rowOf(progress.attempt);
     if (row != nullptr) {
         placement_.load(row->upstream.name).noteTokenGap(now - row->progressAt, now);
+        row->longestGap = std::max(row->longestGap, now - row->progressAt);
         row->progressAt = now;
     }
 }
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -537,6 +537,32 @@
     }
 }
 
+TEST_F(RelaySystemTest, FinishTellsWhyAStreamWasLate)
+{
+    configure();
+    const auto finishOf = [this](Duration untilFirst, Duration gap) {
+        const RequestId request = arrive("/live/1");
+        advance(untilFirst);
+        answer(request);
+        for (int event = 0; event < 3; ++event) {
+            advance(gap);
+            system_.progressed({ dispatches(request).back().attempt }, clock_.now());
+        }
+        end(request);
+        std::map<std::string, std::string> fields;
+        for (const RelayCommand &command : commands_) {
+            const Decision *decision = std::get_if<Decision>(&command);
+            if (decision != nullptr && decision->kind == "finish") {
+                fields = { decision->fields.begin(), decision->fields.end() };
+            }
+        }
+        return fields["late"] + " " + fields["gap_ms"];
+    };
+    EXPECT_EQ(finishOf(milliseconds(300), milliseconds(200)), "none 200");
+    EXPECT_EQ(finishOf(milliseconds(301), milliseconds(10)), "first 10");
+    EXPECT_EQ(finishOf(milliseconds(20), milliseconds(201)), "gap 201");
+}
+
 TEST_F(RelaySystemTest, UpstreamWhoseEntryLapsesFinishesWhatItRuns)
 {
     configure();
