--- a/servers/relay/stored_origins.h
+++ b/servers/relay/stored_origins.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "servers/relay/stream_messages.h"
-#include "servers/routing/store_eras.h"
+#include "servers/routing/routing.h"
 
 namespace GeraniumLever {
 
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -18,7 +18,7 @@
 /** How long an origin that was found in the store is remembered. */
 constexpr Duration MaxStoredOriginAge = std::chrono::seconds(20);
 
-constexpr auto unknown = [](const auto &) { return std::optional<StreamOrigin>(); };
+constexpr auto Unknown = [](const auto &) { return std::optional<StreamOrigin>(); };
 
 } // namespace
 
@@ -122,7 +122,7 @@
         [&](const Search &search) {
             return std::optional(StreamOrigin { *search.pool, *versionOf(search) });
         });
-    end([&](const Search &search) { return isAnswered(search) && search.stream.empty(); }, unknown);
+    end([&](const Search &search) { return isAnswered(search) && search.stream.empty(); }, Unknown);
     for (auto &[request, search] : searches_) {
         if (isAnswered(search)) {
             search.step = Step::ReadingStoredOrigins;
@@ -157,7 +157,7 @@
         [now](const Search &search) {
             return now - search.since >= (search.step == Step::AskingNodes ? StreamLookupTimeout : StoreTimeout);
         },
-        unknown);
+        Unknown);
     std::vector<OutgoingStreamMessage> queries = origins_.repeatQueries(now);
     std::move(queries.begin(), queries.end(), std::back_inserter(commands));
     origins_.expire(now);
--- a/tests/platform/malformed_rows_test.cpp
+++ b/tests/platform/malformed_rows_test.cpp
@@ -14,7 +14,7 @@
 
 constexpr int Rounds = 20000;
 
-const std::string ConfigurationText =
+const std::string configurationText =
     R"({"version":3,"routes":[{"name":"live","host":"a.example","path_prefix":"/live/","kind":"stream","service":"engines",)"
     R"("timeout_ms":3000,"target_latency_ms":300,"priority":1,"max_attempts":2,"resumable":true,"gap_aim_ms":200},)"
     R"({"name":"read","host":"a.example","path_prefix":"/read/","kind":"idempotent","timeout_ms":1000,)"
@@ -23,7 +23,7 @@
     R"({"name":"engines","max_conns":100,"engine":{"slots":8,"kv_capacity":100000}}],)"
     R"("limits":{"max_header_bytes":4096,"max_body_bytes":2000000,"header_timeout_ms":400,"idle_timeout_ms":2000},)"
     R"("tenants":[{"name":"team","api_keys":["key-one"],"priority":1}]})";
-const std::string UpstreamText =
+const std::string upstreamText =
     R"({"service":"engines","address":"10.1.2.3:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
     R"("cold_left_ms":5,"born":1700000000000,"seq":7})";
 
@@ -78,8 +78,8 @@
 {
     for (int round = 0; round < Rounds; ++round) {
         const bool damagesConfiguration = random_.below(2) == 0;
-        apply(damagesConfiguration ? mutated(ConfigurationText, random_) : ConfigurationText,
-              damagesConfiguration ? UpstreamText : mutated(UpstreamText, random_));
+        apply(damagesConfiguration ? mutated(configurationText, random_) : configurationText,
+              damagesConfiguration ? upstreamText : mutated(upstreamText, random_));
     }
     EXPECT_GT(applied_, Rounds / 10) << "much of the damage can still be read";
 }
@@ -106,7 +106,7 @@
         }
         VersionNotes known(false);
         known.updateRoutes(
-            RouteTable(std::make_shared<const SiteConfiguration>(valueOf(decodeConfiguration(ConfigurationText)))),
+            RouteTable(std::make_shared<const SiteConfiguration>(valueOf(decodeConfiguration(configurationText)))),
             clock_.now());
         known.update(notes, clock_.now());
         known.onlyVersion(PoolName("engines"));
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -20,7 +20,7 @@
 };
 
 constexpr Duration Outage = seconds(2);
-const Departure Departures[] = {
+const Departure departures[] = {
     { "long before", seconds(-15) },
     { "just before", milliseconds(-300) },
     { "during", seconds(1) },
@@ -277,7 +277,7 @@
 TEST_F(FleetRestartTest, NoStreamGoesOnAtAnotherVersionWheneverItsOwnHasLeft)
 {
     for (const int count : { 1, 9 }) {
-        for (const Departure &departure : Departures) {
+        for (const Departure &departure : departures) {
             SCOPED_TRACE(std::string(departure.name) + " the kill, nodes: " + std::to_string(count));
             reset();
             startNodes(count);
