--- a/servers/routing/version_notes.cpp
+++ b/servers/routing/version_notes.cpp
@@ -105,9 +105,13 @@
     }
 }
 
-bool VersionNotes::isDue(const Pool &pool, std::size_t rank, TimePoint now) const
+bool VersionNotes::isDue(const PoolName &name, const Pool &pool, const NoteKeeperRank &rank, TimePoint now)
 {
-    const Duration::rep turn = static_cast<Duration::rep>(std::min(rank, MaxRank));
+    // The rank takes a look at all nodes.
+    if (!pool.unnotedSince.has_value() && !pool.outdatedSince.has_value()) {
+        return false;
+    }
+    const Duration::rep turn = static_cast<Duration::rep>(std::min(rank(name), MaxRank));
     return (pool.unnotedSince.has_value() && now >= *pool.unnotedSince + UnnotedRankDelay * turn)
         || (pool.outdatedSince.has_value() && now >= *pool.outdatedSince + OutdatedDelay + OutdatedRankDelay * turn);
 }
@@ -115,7 +119,7 @@
 bool VersionNotes::needsRead(const NoteKeeperRank &rank, TimePoint now) const
 {
     const bool isDueForAny = std::any_of(
-        pools_.begin(), pools_.end(), [&](const auto &item) { return isDue(item.second, rank(item.first), now); });
+        pools_.begin(), pools_.end(), [&](const auto &item) { return isDue(item.first, item.second, rank, now); });
     const bool mayHaveNotes = !stored_.has_value() && !isFirstStart_;
     return hasUpstreams_ && !pools_.empty() && (mayHaveNotes || isDueForAny);
 }
@@ -127,7 +131,7 @@
         return updates;
     }
     for (const auto &[name, pool] : pools_) {
-        if (!isDue(pool, rank(name), now)) {
+        if (!isDue(name, pool, rank, now)) {
             continue;
         }
         const Duration storeNow = *stored_->state.clock;
--- a/servers/routing/version_notes.h
+++ b/servers/routing/version_notes.h
@@ -117,7 +117,7 @@
     };
 
     void compare(TimePoint now);
-    bool isDue(const Pool &pool, std::size_t rank, TimePoint now) const;
+    static bool isDue(const PoolName &name, const Pool &pool, const NoteKeeperRank &rank, TimePoint now);
     /** The versions at which streams that can be taken up may have begun. */
     static std::set<std::string> possibleVersions(const Pool &pool, const PoolNote &note, Duration storeNow);
     PoolNote correctedNote(const Pool &pool, const PoolNote &noted, bool dropGone, Duration storeNow) const;
