--- a/servers/relay/engine_partitioner.cpp
+++ b/servers/relay/engine_partitioner.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /** Requests are gap-tolerant if their target is at least this many times the shortest one. */
-constexpr double TolerantFactor = 1.5;
+constexpr int TolerantFactor = 2;
 /** Half-life of the recorded demand; long enough to average out single requests. */
 constexpr double HalfLifeSeconds = 3.0;
 /** Number of engines by which the ideal partition must differ from the current one before it changes, and the same as a
@@ -18,24 +18,17 @@
 constexpr double Hysteresis = 0.7;
 constexpr double HysteresisShare = 0.03;
 /** Generating one output token costs an engine as much time as prefilling this many prompt tokens, plus a part
- *  proportional to the context length. A step takes about as long for a full batch as for a few requests, so this is
- * the cost in a batch that is well filled. */
-constexpr double PrefillTokensPerOutputToken = 4.0;
+ *  proportional to the context length. */
+constexpr double PrefillTokensPerOutputToken = 15.0;
 constexpr double PrefillTokensPerOutputAndContextToken = 0.0025;
 /** Factor on the work of gap-sensitive requests: they get more engines than their share so that they find a free seat
  *  immediately. */
-constexpr double SensitiveMargin = 1.25;
+constexpr double SensitiveMargin = 1.6;
 /** Work below which a target counts as unused. */
 constexpr double MinWork = 100.0;
 /** Work assumed for each kind of request before any was sent, in prompt tokens. */
 constexpr double InitialWork = 5000.0;
 
-bool isTolerant(Duration tokenGapTarget, Duration shortestTarget)
-{
-    return std::chrono::duration<double>(tokenGapTarget)
-        >= std::chrono::duration<double>(shortestTarget) * TolerantFactor;
-}
-
 } // namespace
 
 double EnginePartitioner::Demand::at(TimePoint now) const
@@ -92,7 +85,7 @@
 bool EnginePartitioner::hasOwnPartition(Duration tokenGapTarget, TimePoint now)
 {
     const std::map<Duration, double> demands = demandsAt(now);
-    return !demands.empty() && isTolerant(tokenGapTarget, demands.begin()->first);
+    return !demands.empty() && tokenGapTarget >= demands.begin()->first * TolerantFactor;
 }
 
 EnginePartition EnginePartitioner::enginesFor(const PoolName &pool,
@@ -105,11 +98,11 @@
     if (engines.size() < 2) {
         return { std::move(engines), true };
     }
-    const Duration shortest = demands.begin()->first;
+    const Duration tolerantFrom = demands.begin()->first * TolerantFactor;
     double sensitive = 0.0;
     double tolerant = 0.0;
     for (const auto &[tokenGap, work] : demands) {
-        (isTolerant(tokenGap, shortest) ? tolerant : sensitive) += work;
+        (tokenGap >= tolerantFrom ? tolerant : sensitive) += work;
     }
     if (tolerant == 0.0) {
         return { std::move(engines), true };
@@ -128,7 +121,7 @@
     }
     const std::size_t count = std::clamp<std::size_t>(tolerantEngines_, 1, engines.size() - 1);
     const auto border = engines.begin() + static_cast<std::ptrdiff_t>(count);
-    if (isTolerant(tokenGapTarget, shortest)) {
+    if (tokenGapTarget >= tolerantFrom) {
         return { std::vector<UpstreamName>(engines.begin(), border), false };
     }
     return { std::vector<UpstreamName>(border, engines.end()), true };
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -32,7 +32,7 @@
 /** Share of the first-answer target that may be spent on prefilling the prompts ahead of this one. */
 constexpr double PrefillShareOfTarget = 0.6;
 /** Lower bound of the prompt tokens that an engine prefills per millisecond. */
-constexpr double PrefillTokensPerMillisecond = 50.0;
+constexpr double PrefillTokensPerMillisecond = 100.0;
 /** Factor on the seats up to which requests are sent, since load information lags behind the actual load. */
 constexpr double SeatOversubscription = 1.2;
 /** Usable share of an engine's KV cache; the rest is reserved for growing answers and for outdated load information. */
