Review: add case 5, a stop that cuts off answers to slow clients

Cause: a connection that closes after its last response is ended two seconds after the response was complete at the relay, whether it was sent or not.

--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -193,6 +193,10 @@
                 "\"kind\":\"idempotent\",\"service\":\"app\",\"timeout_ms\":1500,\"target_latency_ms\":300,"
                 "\"priority\":2,\"max_attempts\":2")
         + ","
+        + route("letter",
+                "\"kind\":\"idempotent\",\"service\":\"app\",\"timeout_ms\":10000,\"target_latency_ms\":1500,"
+                "\"priority\":2,\"max_attempts\":2")
+        + ","
         + route("pay",
                 "\"kind\":\"non_idempotent\",\"service\":\"" + payService
                     + "\",\"timeout_ms\":1500,\"target_latency_ms\":300,\"priority\":2,\"max_attempts\":1")
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -104,7 +104,8 @@
     /** False if the environment asks for a run without the disruption. */
     static bool isTroubled();
 
-    /** Writes the configuration: the routes /chat/ (resumable stream), /read/ (idempotent) and /pay/ (not idempotent).
+    /** Writes the configuration: the routes /chat/ (resumable stream), /read/ and /letter/ (idempotent, the latter with
+     * a long timeout) and /pay/ (not idempotent).
      */
     void writeConfiguration();
     /** The same configuration with another version, and another service for /pay/. */
