Review: order the cases by gravity

The stop that cuts off answers comes first, then the streams lost with their relays, the misrouted requests, and the two cases of joined streams.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,11 +1,7 @@
-/** Another writer's entries, which lack the software version, stand in the store for two live servers of two versions.
- *  Clients take their streams up at another relay. */
+/** Eight of nine relays are lost at once; their clients take their streams up at the ninth. */
 #include <algorithm>
 #include <exception>
 #include <iostream>
-#include <random>
-
-#include <boost/json.hpp>
 
 #include "review/support/deployment.h"
 
@@ -14,43 +10,68 @@
 using namespace GeraniumLever;
 using std::chrono::milliseconds;
 
-constexpr int Streams = 60;
-constexpr int EventsPerStream = 150;
+constexpr int StreamsPerRelay = 6;
+constexpr int EventsPerStream = 120;
+/** Events of a stream that a client has before its connection breaks. */
 constexpr std::size_t EventsBefore = 5;
-/** RULES: ORDER is broken by more than two streams. */
-constexpr int MaxMixed = 2;
-constexpr milliseconds Heartbeat(1200);
-/** How long after a server's own heartbeat the other writer writes. */
-constexpr milliseconds OtherWriterDelay(100);
+constexpr int NewStreams = 40;
+/** RULES: LOST counts 12 or more streams that are taken up. */
+constexpr int MinTakenUp = 12;
+/** RULES: their share is broken under half of the share of new streams that begin. */
+constexpr double MinShare = 0.5;
+/** The page's contact_ms: the machine that the clients come back to is left alone for so long before. */
+constexpr milliseconds ContactTime(3000);
+/** The client's own retries, as the sheet of the sites states them. */
+constexpr int Retries = 1;
 
 struct Stream
 {
     std::string id;
     std::string path;
-    std::shared_ptr<Client> first;
-    std::shared_ptr<Client> second;
+    std::string relay;
+    std::shared_ptr<Client> client;
+    std::string events;
     std::size_t eventCount = 0;
 };
 
 std::string script()
 {
-    return "Stand-In: events=" + std::to_string(EventsPerStream) + " gap=20\r\n";
+    return "Stand-In: events=" + std::to_string(EventsPerStream) + " gap=40\r\n";
 }
 
-std::size_t countEvents(const Client &client)
+/** The complete events of a body. */
+std::string wholeEvents(const std::string &body)
 {
-    const std::string body = client.response().body;
     const std::size_t end = body.rfind("\n\n");
-    return end == std::string::npos
-        ? 0
-        : static_cast<std::size_t>(std::count(body.begin(), body.begin() + static_cast<std::ptrdiff_t>(end) + 2, '\n'))
-            / 3;
+    return end == std::string::npos ? std::string() : body.substr(0, end + 2);
+}
+
+std::size_t countEvents(const std::string &events)
+{
+    // An event of the stand-in has three line ends.
+    return static_cast<std::size_t>(std::count(events.begin(), events.end(), '\n')) / 3;
+}
+
+/** True once it is known whether the stream begins, or goes on. */
+bool isDecided(const Client &client)
+{
+    const ClientResponse response = client.response();
+    return client.ended() || response.complete || (response.status == 200 && !wholeEvents(response.body).empty());
+}
+
+bool begins(const Client &client, const std::string &path, std::size_t after)
+{
+    const ClientResponse response = client.response();
+    const std::string expected = standInEvents(path, "prompt", EventsPerStream);
+    const std::string before = standInEvents(path, "prompt", after);
+    const std::string events = wholeEvents(response.body);
+    return response.status == 200 && !events.empty() && expected.substr(before.size()).starts_with(events);
 }
 
-class OtherWriter
+class TakeUps
 {
 public:
-    explicit OtherWriter(const std::string &folder) : deployment_(folder) { }
+    explicit TakeUps(const std::string &folder) : deployment_(folder) { }
 
     int run()
     {
@@ -58,20 +79,19 @@
         if (!deployment_.awaitReady()) {
             return finish(deployment_, Verdict::CannotRun, "a relay did not become ready");
         }
-        runWithHeartbeats(milliseconds(4000));
-        isWriting_ = Deployment::isTroubled();
-        deployment_.record(isWriting_ ? "another writer writes entries for i-a1 and i-b1" : "no other writer");
-        runWithHeartbeats(milliseconds(4000));
+        deployment_.runFor(ContactTime + milliseconds(500));
         beginStreams();
-        const bool allBegan = runUntil([](const Stream &stream) { return countEvents(*stream.first) >= EventsBefore; });
+        const bool allBegan = deployment_.runUntil(
+            [this]() {
+                return std::all_of(streams_.begin(), streams_.end(), [](const Stream &stream) {
+                    return countEvents(wholeEvents(stream.client->response().body)) >= EventsBefore;
+                });
+            },
+            milliseconds(4000));
         if (!allBegan) {
             return finish(deployment_, Verdict::CannotRun, "not all streams began");
         }
-        takeUp();
-        runUntil([](const Stream &stream) {
-            return stream.second->response().status != 0
-                && (stream.second->response().status != 200 || countEvents(*stream.second) > 0);
-        });
+        breakStreams();
         return judge();
     }
 
@@ -79,129 +99,151 @@
     void start()
     {
         deployment_.writeConfiguration();
-        versions_ = { { "i-a1", "v1" }, { "i-a2", "v1" }, { "i-b1", "v2" }, { "i-b2", "v2" } };
-        for (const auto &[id, version] : versions_) {
-            deployment_.addServer(id, "llm", "caerdydd-a", version, 48);
-        }
-        for (int number = 1; number <= 3; ++number) {
-            deployment_.addRelay("front-caerdydd-a-" + std::to_string(number), "caerdydd-a");
-        }
-    }
-
-    /** Lets the servers, and the other writer, write into the store when it is time. */
-    void writeEntries()
-    {
-        const auto now = std::chrono::steady_clock::now();
-        if (now >= nextHeartbeat_) {
-            for (const RegisteredServer &server : deployment_.servers()) {
-                deployment_.registerServer(server);
+        const std::string zones[] = { "caerdydd-a", "casnewydd-b", "abertawe-c" };
+        for (const std::string &zone : zones) {
+            for (int number = 1; number <= 3; ++number) {
+                deployment_.addServer("i-" + zone + std::to_string(number), "llm", zone, "v1", 48);
             }
-            nextHeartbeat_ = now + Heartbeat;
-            nextForeign_ = now + OtherWriterDelay;
         }
-        if (isWriting_ && nextForeign_.has_value() && now >= *nextForeign_) {
-            for (const RegisteredServer &server : deployment_.servers()) {
-                if (server.id == "i-a1" || server.id == "i-b1") {
-                    deployment_.store().put("servers",
-                                            server.id,
-                                            boost::json::serialize(boost::json::object { { "service", server.service },
-                                                                                         { "address", server.address },
-                                                                                         { "zone", server.zone },
-                                                                                         { "slots", server.slots },
-                                                                                         { "state", "ready" } }));
-                }
+        // The numbers of machines in the zones are those of the site cyfrif-dues.
+        const std::pair<const char *, int> relays[] = { { "caerdydd-a", 3 },
+                                                        { "casnewydd-b", 4 },
+                                                        { "abertawe-c", 2 } };
+        for (const auto &[zone, count] : relays) {
+            for (int number = 1; number <= count; ++number) {
+                deployment_.addRelay("front-" + std::string(zone) + "-" + std::to_string(number), zone);
             }
-            nextForeign_.reset();
         }
     }
 
-    void runWithHeartbeats(milliseconds time)
-    {
-        const auto end = std::chrono::steady_clock::now() + time;
-        deployment_.runUntil(
-            [&]() {
-                writeEntries();
-                return std::chrono::steady_clock::now() >= end;
-            },
-            time + milliseconds(100));
-    }
+    RelayProcess &survivor() { return deployment_.relays().back(); }
 
-    /** Runs until the condition holds for each stream, 3 s at most. */
-    template<typename Condition>
-    bool runUntil(Condition condition)
+    void beginStreams()
     {
-        return deployment_.runUntil(
-            [&]() {
-                writeEntries();
-                return std::all_of(streams_.begin(), streams_.end(), condition);
-            },
-            milliseconds(3000));
+        for (const RelayProcess &relay : deployment_.relays()) {
+            if (&relay == &survivor()) {
+                continue;
+            }
+            for (int number = 0; number < StreamsPerRelay; ++number) {
+                Stream stream;
+                stream.id = "s" + std::to_string(streams_.size());
+                stream.path = "/chat/" + stream.id;
+                stream.relay = relay.node;
+                stream.client = deployment_.send(
+                    relay.callerAddress, Deployment::request(stream.id, "POST", stream.path, "prompt", script()));
+                streams_.push_back(std::move(stream));
+            }
+        }
+        deployment_.record("began " + std::to_string(streams_.size()) + " streams at eight relays");
     }
 
-    void beginStreams()
+    void breakStreams()
     {
-        for (int number = 0; number < Streams; ++number) {
-            Stream stream;
-            stream.id = "s" + std::to_string(number);
-            stream.path = "/chat/" + stream.id;
-            stream.first = deployment_.send(deployment_.relays()[0].callerAddress,
-                                            Deployment::request(stream.id, "POST", stream.path, "prompt", script()));
-            streams_.push_back(std::move(stream));
+        if (Deployment::isTroubled()) {
+            for (RelayProcess &relay : deployment_.relays()) {
+                if (&relay != &survivor()) {
+                    deployment_.killRelay(relay);
+                }
+            }
+            deployment_.record("eight relays are lost; " + survivor().node + " is left alone");
+        } else {
+            deployment_.record("the clients' connections break; no relay is lost");
+        }
+        deployment_.runFor(milliseconds(20));
+        for (Stream &stream : streams_) {
+            stream.events = wholeEvents(stream.client->response().body);
+            stream.eventCount = countEvents(stream.events);
+            stream.client->close();
         }
     }
 
-    void takeUp()
+    /** Sends requests, and each refused one once more after the time that its answer states. Returns the number that
+     *  began to be answered. */
+    template<typename TextOf, typename IsGood>
+    int countGood(std::size_t count, TextOf textOf, IsGood isGood)
     {
-        for (Stream &stream : streams_) {
-            stream.eventCount = countEvents(*stream.first);
-            stream.first->close();
+        std::vector<std::size_t> open;
+        for (std::size_t index = 0; index < count; ++index) {
+            open.push_back(index);
         }
-        // Callers come back in any order.
-        std::mt19937 random(1);
-        std::shuffle(streams_.begin(), streams_.end(), random);
-        for (Stream &stream : streams_) {
-            stream.second =
-                deployment_.send(deployment_.relays()[1].callerAddress,
-                                 Deployment::request(stream.id + "-again",
-                                                     "POST",
-                                                     stream.path,
-                                                     "prompt",
-                                                     "Last-Event-Id: " + std::to_string(stream.eventCount)
-                                                         + "\r\nResumes: " + stream.id + "\r\n" + script()));
+        int good = 0;
+        for (int attempt = 0; attempt <= Retries && !open.empty(); ++attempt) {
+            std::vector<std::shared_ptr<Client>> clients;
+            clients.reserve(open.size());
+            for (const std::size_t index : open) {
+                clients.push_back(deployment_.send(survivor().callerAddress, textOf(index, attempt)));
+            }
+            deployment_.runUntil(
+                [&clients]() {
+                    return std::all_of(clients.begin(), clients.end(), [](const std::shared_ptr<Client> &client) {
+                        return isDecided(*client);
+                    });
+                },
+                milliseconds(3000));
+            std::vector<std::size_t> refused;
+            double longest = 0.0;
+            for (std::size_t position = 0; position < open.size(); ++position) {
+                const ClientResponse response = clients[position]->response();
+                const bool isGoodOne = isGood(open[position], *clients[position]);
+                good += isGoodOne ? 1 : 0;
+                deployment_.record("request " + std::to_string(open[position]) + " attempt " + std::to_string(attempt)
+                                   + " status " + std::to_string(response.status)
+                                   + (isGoodOne ? " begins"
+                                                : " does not begin, Retry-After " + response.field("Retry-After") + " "
+                                              + response.body));
+                if (!isGoodOne) {
+                    refused.push_back(open[position]);
+                    const std::string after = response.field("Retry-After");
+                    longest = std::max(longest, after.empty() ? 0.1 : std::stod(after));
+                }
+                clients[position]->close();
+            }
+            open = refused;
+            deployment_.runFor(milliseconds(static_cast<int>(longest * 1000.0) + 10));
         }
+        return good;
     }
 
     int judge()
     {
-        int mixed = 0;
-        int goOn = 0;
-        for (const Stream &stream : streams_) {
-            const ClientResponse second = stream.second->response();
-            const std::string before = stream.first->response().field("Server-Seal");
-            const std::string after = second.field("Server-Seal");
-            const bool hasBoth = stream.eventCount > 0 && second.status == 200 && countEvents(*stream.second) > 0;
-            const bool isMixed = hasBoth && versions_.at(before) != versions_.at(after);
-            goOn += hasBoth ? 1 : 0;
-            mixed += isMixed ? 1 : 0;
-            deployment_.record(stream.id + ": " + std::to_string(stream.eventCount) + " events of " + before
-                               + ", taken up with status " + std::to_string(second.status) + " at " + after
-                               + (isMixed ? ": joined from two versions" : ""));
-        }
-        const std::string text = std::to_string(mixed) + " of " + std::to_string(goOn)
-            + " streams that went on hold events of two software versions";
-        if (goOn == 0) {
+        deployment_.record("the streams are taken up at " + survivor().node);
+        const int goOn = countGood(
+            streams_.size(),
+            [this](std::size_t index, int attempt) {
+                const Stream &stream = streams_[index];
+                return Deployment::request(stream.id + "-again" + std::to_string(attempt),
+                                           "POST",
+                                           stream.path,
+                                           "prompt",
+                                           "Last-Event-Id: " + std::to_string(stream.eventCount)
+                                               + "\r\nResumes: " + stream.id + "\r\n" + script());
+            },
+            [this](std::size_t index, const Client &client) {
+                return begins(client, streams_[index].path, streams_[index].eventCount);
+            });
+        deployment_.record("new streams at " + survivor().node);
+        const int begin = countGood(
+            NewStreams,
+            [](std::size_t index, int attempt) {
+                const std::string id = "n" + std::to_string(index) + "-" + std::to_string(attempt);
+                return Deployment::request(id, "POST", "/chat/n" + std::to_string(index), "prompt", script());
+            },
+            [](std::size_t index, const Client &client) {
+                return begins(client, "/chat/n" + std::to_string(index), 0);
+            });
+        const int takenUp = static_cast<int>(streams_.size());
+        const double share = static_cast<double>(goOn) / takenUp;
+        const double newShare = static_cast<double>(begin) / NewStreams;
+        const std::string text = std::to_string(goOn) + " of " + std::to_string(takenUp) + " streams go on, "
+            + std::to_string(begin) + " of " + std::to_string(NewStreams) + " new streams begin";
+        if (takenUp < MinTakenUp || begin == 0 || !deployment_.isReady(survivor())) {
             return finish(deployment_, Verdict::CannotRun, text);
         }
-        return finish(deployment_, mixed > MaxMixed ? Verdict::Broken : Verdict::Held, text);
+        return finish(deployment_, share < MinShare * newShare ? Verdict::Broken : Verdict::Held, text);
     }
 
     Deployment deployment_;
-    /** Software version by server. */
-    std::map<std::string, std::string> versions_;
     std::vector<Stream> streams_;
-    std::chrono::steady_clock::time_point nextHeartbeat_;
-    std::optional<std::chrono::steady_clock::time_point> nextForeign_;
-    bool isWriting_ = false;
 };
 
 } // namespace
@@ -209,7 +251,7 @@
 int main(int argc, char **argv)
 {
     try {
-        return OtherWriter(argc > 1 ? argv[1] : ".").run();
+        return TakeUps(argc > 1 ? argv[1] : ".").run();
     } catch (const std::exception &error) {
         std::cout << "the case could not run: " << error.what() << std::endl;
         return static_cast<int>(Verdict::CannotRun);
