--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -71,7 +71,7 @@
 class TakeUps
 {
 public:
-    explicit TakeUps(const std::string &folder) : deployment_(folder) { }
+    explicit TakeUps(const std::string &recordPath) : deployment_(recordPath) { }
 
     int run()
     {
@@ -251,7 +251,7 @@
 int main(int argc, char **argv)
 {
     try {
-        return TakeUps(argc > 1 ? argv[1] : ".").run();
+        return TakeUps(argc > 1 ? argv[1] : "record.txt").run();
     } catch (const std::exception &error) {
         std::cout << "the case could not run: " << error.what() << std::endl;
         return static_cast<int>(Verdict::CannotRun);
--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -27,6 +27,13 @@
 
 constexpr const char *SettingsVariable = "GERANIUMLEVER_SETTINGS";
 
+volatile std::sig_atomic_t isStopped = 0;
+
+void stopScript(int)
+{
+    isStopped = 1;
+}
+
 asio::ip::tcp::endpoint endpointOf(const std::string &address)
 {
     const std::size_t colon = address.rfind(':');
@@ -147,9 +154,11 @@
     return response;
 }
 
-Deployment::Deployment(const std::string &folder)
-    : command_(readCommand()), record_(folder + "/record.txt"), store_(context_, "127.0.0.1:0")
+Deployment::Deployment(const std::string &recordPath)
+    : command_(readCommand()), record_(recordPath), store_(context_, "127.0.0.1:0")
 {
+    std::signal(SIGTERM, stopScript);
+    std::signal(SIGINT, stopScript);
     std::string pattern = (std::filesystem::temp_directory_path() / "geranium-review-XXXXXX").string();
     temporaryFolder_ = mkdtemp(pattern.data());
     storeAddress_ = store_.address();
@@ -371,6 +380,11 @@
 std::shared_ptr<Client> Deployment::send(const std::string &address, const std::string &text)
 {
     const std::shared_ptr<Client> client = std::make_shared<Client>(context_);
+    const std::size_t id = text.find("Request-Id: ");
+    if (id != std::string::npos) {
+        record("sent to " + address + ": " + text.substr(0, text.find(" HTTP/1.1")) + ", "
+               + text.substr(id, text.find("\r\n", id) - id));
+    }
     client->start(address, text);
     return client;
 }
@@ -390,6 +404,9 @@
 {
     const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
+        if (isStopped != 0) {
+            throw std::runtime_error("the script was stopped");
+        }
         if (std::chrono::steady_clock::now() >= end) {
             return false;
         }
@@ -415,6 +432,13 @@
     const std::string text = verdict == Verdict::Held ? "the rule held"
         : verdict == Verdict::Broken                  ? "the rule was broken"
                                                       : "the case could not run";
+    for (const auto &[request, runs] : deployment.ledger()) {
+        for (const ServerRun &run : runs) {
+            deployment.record("run: " + request + " (" + run.method + " " + run.target + ") by " + run.server
+                              + ", software version " + run.version + ", after event "
+                              + std::to_string(run.lastEventId));
+        }
+    }
     deployment.record(text + ": " + reason);
     std::cout << text << ": " << reason << std::endl;
     return static_cast<int>(verdict);
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -94,8 +94,9 @@
 class Deployment
 {
 public:
-    /** folder: of the case; record.txt is written there. The working folder must be the repository's root. */
-    explicit Deployment(const std::string &folder);
+    /** recordPath: the file for what was sent, answered and run. The working folder must be the repository's root.
+     *  SIGTERM and SIGINT end the next wait with an exception, so that the destructor ends all processes. */
+    explicit Deployment(const std::string &recordPath);
     ~Deployment();
 
     Deployment(const Deployment &) = delete;
@@ -146,7 +147,7 @@
     bool runUntil(const std::function<bool()> &condition, std::chrono::milliseconds limit);
     void runFor(std::chrono::milliseconds time);
 
-    /** Writes a line with the time into record.txt. */
+    /** Writes a line with the time into the record. */
     void record(const std::string &line);
 
     boost::asio::io_context &context() { return context_; }
@@ -171,7 +172,7 @@
     std::deque<RelayProcess> relays_;
 };
 
-/** Reports the verdict in record.txt and on standard output, and returns it as an exit code. */
+/** Reports the verdict in the record and on standard output, and returns it as an exit code. */
 int finish(Deployment &deployment, Verdict verdict, const std::string &reason);
 
 } // namespace GeraniumLever
