Tell from the log at which step the search for a stream's origin ended

Callers whose streams are taken up were refused with stream_origin_unknown, and the log did not say why: the other nodes may not know the stream, or not have answered; the notes may name several versions, or could not be read; the stored origins may lack it. Only the total time hinted at it.

The take_up line is now written for refused take-ups, too. It says whether the origin is known, which step told it or gave up (memory, nodes, notes, stored_origins), how many nodes were silent, and how long the search took. It is written once per search.

--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -37,6 +37,21 @@
     return "none";
 }
 
+const char *stepName(SearchStep step)
+{
+    switch (step) {
+    case SearchStep::OwnMemory:
+        return "memory";
+    case SearchStep::AskingNodes:
+        return "nodes";
+    case SearchStep::ReadingNotes:
+        return "notes";
+    case SearchStep::ReadingStoredOrigins:
+        return "stored_origins";
+    }
+    return "none";
+}
+
 /** Adds nothing if no response was forwarded. */
 void addResponseFields(Decision &decision, const RelayRow &row)
 {
@@ -183,12 +198,17 @@
     return decision;
 }
 
-Decision recordStreamOrigin(const RelayRow &row, const StreamOrigin &origin)
+Decision recordTakeUp(const RelayRow &row, const LocatedStream &located)
 {
+    const StreamOrigin origin = located.origin.value_or(StreamOrigin {});
     Decision decision = requestDecision("take_up", row);
     decision.fields.emplace_back("resumes", row.request.resumedRequest);
+    decision.fields.emplace_back("known", located.origin.has_value() ? "true" : "false");
     decision.fields.emplace_back("origin", origin.pool.text());
     decision.fields.emplace_back("version", origin.version);
+    decision.fields.emplace_back("step", stepName(located.lastStep));
+    decision.fields.emplace_back("silent_nodes", std::to_string(located.silentNodes));
+    decision.fields.emplace_back("search_ms", milliseconds(located.duration));
     return decision;
 }
 
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -6,6 +6,7 @@
 #include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_placement.h"
 #include "servers/relay/relay_row.h"
+#include "servers/relay/stream_locator.h"
 
 namespace GeraniumLever {
 
@@ -42,7 +43,7 @@
 Decision recordDispatch(const RelayRow &row, const Placement &placement, TimePoint now);
 
 /** The row's request takes up a stream that began there. */
-Decision recordStreamOrigin(const RelayRow &row, const StreamOrigin &origin);
+Decision recordTakeUp(const RelayRow &row, const LocatedStream &located);
 
 /** ahead: requests that are served before it. utilization: estimated share of the pool's seats in use. */
 Decision recordWait(const RelayRow &row, std::size_t ahead, double utilization);
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -415,6 +415,7 @@
         if (row == nullptr) {
             continue;
         }
+        commands.emplace_back(recordTakeUp(*row, located));
         if (located.origin.has_value()) {
             continueStream(*row, *located.origin, now, commands);
         } else {
@@ -425,7 +426,6 @@
 
 void RelaySystem::continueStream(RelayRow &row, const StreamOrigin &origin, TimePoint now, RelayCommands &commands)
 {
-    commands.emplace_back(recordStreamOrigin(row, origin));
     const std::vector<PoolShare> &pools = row.route->pools;
     const bool isAllowed = std::any_of(
         pools.begin(), pools.end(), [&origin](const PoolShare &share) { return share.pool == origin.pool; });
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -52,13 +52,14 @@
     const std::string &stream = row.request.resumedRequest;
     const std::optional<StreamOrigin> known = stream.empty() ? std::nullopt : origins_.find(stream, now);
     if (known.has_value()) {
-        located_.push_back({ row.request.request, known });
+        located_.push_back({ row.request.request, known, SearchStep::OwnMemory });
         return;
     }
     const std::vector<PoolShare> &pools = row.route->pools;
     Search &search = searches_[row.request.request];
     search.stream = stream;
     search.pool = pools.size() == 1 ? std::optional(pools.front().pool) : std::nullopt;
+    search.startedAt = now;
     search.since = now;
     std::vector<OutgoingStreamMessage> queries;
     if (!stream.empty()) {
@@ -73,20 +74,20 @@
 
 void StreamLocator::readNotes(Search &search, TimePoint now, RelayCommands &commands)
 {
-    search.step = Step::ReadingNotes;
+    search.step = SearchStep::ReadingNotes;
     search.since = now;
     commands.emplace_back(ReadVersionNotes {});
 }
 
 template<typename Condition, typename Origin>
-void StreamLocator::end(Condition condition, Origin origin)
+void StreamLocator::end(TimePoint now, Condition condition, Origin origin)
 {
     std::erase_if(searches_, [&](const auto &item) {
         const auto &[request, search] = item;
         if (!condition(search)) {
             return false;
         }
-        located_.push_back({ request, origin(search) });
+        located_.push_back({ request, origin(search), search.step, search.silentNodes, now - search.startedAt });
         return true;
     });
 }
@@ -97,10 +98,10 @@
         return;
     }
     const auto isMeant = [&reply](const Search &search) {
-        return search.stream == reply.stream && search.step == Step::AskingNodes;
+        return search.stream == reply.stream && search.step == SearchStep::AskingNodes;
     };
     if (reply.origin.has_value()) {
-        end(isMeant, [&reply](const Search &) { return reply.origin; });
+        end(now, isMeant, [&reply](const Search &) { return reply.origin; });
         return;
     }
     for (auto &[request, search] : searches_) {
@@ -113,19 +114,22 @@
 void StreamLocator::notesRead(TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
     const auto isAnswered = [asOf](const Search &search) {
-        return search.step == Step::ReadingNotes && search.since <= asOf;
+        return search.step == SearchStep::ReadingNotes && search.since <= asOf;
     };
     const auto versionOf = [this, now](const Search &search) {
         return search.pool.has_value() ? fleet_.onlyVersion(*search.pool, now) : std::nullopt;
     };
-    end([&](const Search &search) { return isAnswered(search) && versionOf(search).has_value(); },
+    end(
+        now,
+        [&](const Search &search) { return isAnswered(search) && versionOf(search).has_value(); },
         [&](const Search &search) {
             return std::optional(StreamOrigin { *search.pool, *versionOf(search) });
         });
-    end([&](const Search &search) { return isAnswered(search) && search.stream.empty(); }, Unknown);
+    end(
+        now, [&](const Search &search) { return isAnswered(search) && search.stream.empty(); }, Unknown);
     for (auto &[request, search] : searches_) {
         if (isAnswered(search)) {
-            search.step = Step::ReadingStoredOrigins;
+            search.step = SearchStep::ReadingStoredOrigins;
             search.since = now;
             commands.emplace_back(ReadStoredOrigins {});
         }
@@ -134,7 +138,11 @@
 
 void StreamLocator::storedOriginsRead(const StoredOrigins &stored, TimePoint asOf, TimePoint now)
 {
-    end([asOf](const Search &search) { return search.step == Step::ReadingStoredOrigins && search.since <= asOf; },
+    end(
+        now,
+        [asOf](const Search &search) {
+            return search.step == SearchStep::ReadingStoredOrigins && search.since <= asOf;
+        },
         [&](const Search &search) {
             const std::optional<StreamOrigin> origin = stored.find(search.stream);
             if (origin.has_value()) {
@@ -147,15 +155,19 @@
 void StreamLocator::tick(TimePoint now, RelayCommands &commands)
 {
     for (auto &[request, search] : searches_) {
+        if (search.step == SearchStep::AskingNodes) {
+            search.silentNodes = origins_.silentNodes(search.stream);
+        }
         // Without any answer this node may be cut off from the nodes that know the origin.
-        const bool isAnswered = search.step == Step::AskingNodes && origins_.hasAnswer(search.stream);
+        const bool isAnswered = search.step == SearchStep::AskingNodes && origins_.hasAnswer(search.stream);
         if (isAnswered && now - search.since >= StreamLookupTimeout) {
             readNotes(search, now, commands);
         }
     }
     end(
+        now,
         [now](const Search &search) {
-            return now - search.since >= (search.step == Step::AskingNodes ? StreamLookupTimeout : StoreTimeout);
+            return now - search.since >= (search.step == SearchStep::AskingNodes ? StreamLookupTimeout : StoreTimeout);
         },
         Unknown);
     std::vector<OutgoingStreamMessage> queries = origins_.repeatQueries(now);
--- a/servers/relay/stream_locator.h
+++ b/servers/relay/stream_locator.h
@@ -12,12 +12,25 @@
 
 namespace GeraniumLever {
 
+/** Steps of a search, in their order. */
+enum class SearchStep : std::uint8_t {
+    OwnMemory,
+    AskingNodes,
+    ReadingNotes,
+    ReadingStoredOrigins,
+};
+
 /** A request whose search has ended. */
 struct LocatedStream
 {
     RequestId request;
     /** Absent if more than one version may have begun the stream. */
     std::optional<StreamOrigin> origin;
+    /** The step that found the origin, or at which the search was given up. */
+    SearchStep lastStep = SearchStep::OwnMemory;
+    /** Nodes that were asked and did not answer in time. */
+    std::size_t silentNodes = 0;
+    Duration duration { 0 };
 
     auto operator<=>(const LocatedStream &) const = default;
 };
@@ -66,27 +79,23 @@
     std::vector<LocatedStream> takeLocated() { return std::exchange(located_, {}); }
 
 private:
-    enum class Step : std::uint8_t {
-        AskingNodes,
-        ReadingNotes,
-        ReadingStoredOrigins,
-    };
-
     struct Search
     {
         /** Empty if the caller does not name the stream. */
         std::string stream;
         /** Absent if the route has several. */
         std::optional<PoolName> pool;
-        Step step = Step::AskingNodes;
+        TimePoint startedAt;
+        SearchStep step = SearchStep::AskingNodes;
         /** When the step began. */
         TimePoint since;
+        std::size_t silentNodes = 0;
     };
 
     static void readNotes(Search &search, TimePoint now, RelayCommands &commands);
     /** Ends all searches that satisfy the condition. */
     template<typename Condition, typename Origin>
-    void end(Condition condition, Origin origin);
+    void end(TimePoint now, Condition condition, Origin origin);
 
     const FleetState &fleet_;
     StreamOrigins origins_;
--- a/servers/relay/stream_origins.cpp
+++ b/servers/relay/stream_origins.cpp
@@ -78,6 +78,12 @@
     return lookup != lookups_.end() && lookup->second.answered;
 }
 
+std::size_t StreamOrigins::silentNodes(const std::string &stream) const
+{
+    const auto lookup = lookups_.find(stream);
+    return lookup == lookups_.end() ? 0 : lookup->second.unanswered.size();
+}
+
 void StreamOrigins::receive(const StreamRecord &record, TimePoint now)
 {
     put(record.stream, record.origin, now + std::min(record.lifetime, MaxLifetime));
--- a/servers/relay/stream_origins.h
+++ b/servers/relay/stream_origins.h
@@ -45,6 +45,9 @@
     /** True if another node has answered the lookup that is under way. */
     bool hasAnswer(const std::string &stream) const;
 
+    /** Number of nodes that have not answered the lookup that is under way. */
+    std::size_t silentNodes(const std::string &stream) const;
+
     void receive(const StreamRecord &record, TimePoint now);
     StreamReply answer(const StreamQuery &query, TimePoint now) const;
 
--- a/tests/servers/relay/stream_resumption_test.cpp
+++ b/tests/servers/relay/stream_resumption_test.cpp
@@ -109,6 +109,24 @@
         return request;
     }
 
+    /** One field of all records on streams that were taken up. */
+    std::vector<std::string> takeUpField(const std::string &name) const
+    {
+        std::vector<std::string> values;
+        for (const RelayCommand &command : commands_) {
+            const Decision *decision = std::get_if<Decision>(&command);
+            if (decision == nullptr || decision->kind != "take_up") {
+                continue;
+            }
+            for (const auto &[field, value] : decision->fields) {
+                if (field == name) {
+                    values.push_back(value);
+                }
+            }
+        }
+        return values;
+    }
+
     FakeVersionTable versionTable_;
 
     /** Until no answer of peers or the store is awaited any more. */
@@ -400,6 +418,26 @@
     EXPECT_EQ(system_.inFlight(), 0U);
 }
 
+TEST_F(StreamResumptionTest, LogTellsAtWhichStepASearchEnded)
+{
+    const RequestId first = takeUp("begun");
+    reply("node-1", "begun", first_);
+    answer(first);
+    takeUp("begun");
+    takeUpUnknown("lost");
+    EXPECT_EQ(takeUpField("step"), (std::vector<std::string> { "nodes", "memory", "stored_origins" }));
+    EXPECT_EQ(takeUpField("known"), (std::vector<std::string> { "true", "true", "false" }));
+}
+
+TEST_F(StreamResumptionTest, LogTellsHowManyNodesWereSilent)
+{
+    takeUp("lost");
+    const std::size_t asked = sent<StreamQuery>().size();
+    passTime();
+    EXPECT_EQ(takeUpField("silent_nodes"), std::vector<std::string> { std::to_string(asked) });
+    EXPECT_EQ(takeUpField("known"), std::vector<std::string> { "false" });
+}
+
 TEST_F(StreamResumptionTest, EveryRequestThatWaitsForTheSameStreamGoesOn)
 {
     const RequestId one = takeUp("begun");
