Take up streams at a node whose peers are gone, by what the store proves

Cause: StreamLocator::tick read the notes on versions only if at least one of the asked nodes had answered; silence ended the search. The condition dates from when a node's own list of upstreams was the proof, and an answer showed that the node was not cut off.

The store is now read 150 ms after the nodes were asked, whoever has answered. This works since the notes are read after the caller came back and name every version at which a stream can have begun, whatever the other nodes remember; an answer of a node that had just started added nothing. What notes and stored origins do not prove is refused as before.

Three checks stated the fault and are replaced. NodeThatIsCutOffDoesNotTrustItsOwnView refused after 150 ms without asking the store; it now also gets notes that are too old, and must still refuse and dispatch nothing. SilentPeersAreAskedAgainAndNotAwaitedForLong bounded the wait for nodes by the refusal; it now bounds it by the read of the notes, at the same moment. EXPECT_FALSE(hasAnswer()) asked for a state that is gone; the number of silent nodes is checked before each reply in its place.

--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -155,19 +155,16 @@
 void StreamLocator::tick(TimePoint now, RelayCommands &commands)
 {
     for (auto &[request, search] : searches_) {
-        if (search.step == SearchStep::AskingNodes) {
+        if (search.step == SearchStep::AskingNodes && now - search.since >= StreamLookupTimeout) {
+            // The nodes that remember the stream may be gone for good, and the store's proof does not need them.
             search.silentNodes = origins_.silentNodes(search.stream);
-        }
-        // Without any answer this node may be cut off from the nodes that know the origin.
-        const bool isAnswered = search.step == SearchStep::AskingNodes && origins_.hasAnswer(search.stream);
-        if (isAnswered && now - search.since >= StreamLookupTimeout) {
             readNotes(search, now, commands);
         }
     }
     end(
         now,
         [now](const Search &search) {
-            return now - search.since >= (search.step == SearchStep::AskingNodes ? StreamLookupTimeout : StoreTimeout);
+            return search.step != SearchStep::AskingNodes && now - search.since >= StoreTimeout;
         },
         Unknown);
     std::vector<OutgoingStreamMessage> queries = origins_.repeatQueries(now);
--- a/servers/relay/stream_origins.cpp
+++ b/servers/relay/stream_origins.cpp
@@ -72,12 +72,6 @@
     return messages;
 }
 
-bool StreamOrigins::hasAnswer(const std::string &stream) const
-{
-    const auto lookup = lookups_.find(stream);
-    return lookup != lookups_.end() && lookup->second.answered;
-}
-
 std::size_t StreamOrigins::silentNodes(const std::string &stream) const
 {
     const auto lookup = lookups_.find(stream);
@@ -100,7 +94,6 @@
     if (lookup == lookups_.end()) {
         return false;
     }
-    lookup->second.answered = true;
     lookup->second.unanswered.erase(reply.node);
     if (!reply.origin.has_value() && !lookup->second.unanswered.empty()) {
         return false;
--- a/servers/relay/stream_origins.h
+++ b/servers/relay/stream_origins.h
@@ -42,9 +42,6 @@
     /** Queries to send again because they have not been answered; to be called every few tens of milliseconds. */
     std::vector<OutgoingStreamMessage> repeatQueries(TimePoint now);
 
-    /** True if another node has answered the lookup that is under way. */
-    bool hasAnswer(const std::string &stream) const;
-
     /** Number of nodes that have not answered the lookup that is under way. */
     std::size_t silentNodes(const std::string &stream) const;
 
@@ -69,7 +66,6 @@
     {
         TimePoint startedAt;
         bool repeated = false;
-        bool answered = false;
         /** Nodes that have not answered, with their addresses. */
         std::map<NodeName, std::string> unanswered;
     };
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -1,4 +1,4 @@
-/** Tests that streams never go on at another version after all nodes were killed at once. */
+/** Tests how streams go on after many or all nodes were lost at once: never at another version. */
 #include <map>
 #include <memory>
 #include <string>
@@ -99,6 +99,12 @@
 
     void killAll() { nodes_.clear(); }
 
+    /** The others neither start again nor leave the list of nodes. */
+    void killAllBut(const std::string &address)
+    {
+        std::erase_if(nodes_, [&address](const auto &item) { return item.first != address; });
+    }
+
     void readStore()
     {
         for (auto &[address, node] : nodes_) {
@@ -241,6 +247,29 @@
         }
     }
 
+    /** The caller of each begun stream takes it up at the node, once the one before has been answered to the end.
+     * Returns the number of streams that went on. */
+    int takeUpBegunStreams(const std::string &address)
+    {
+        const std::map<std::string, std::string> begun = versions_;
+        int resumed = 0;
+        for (const auto &[id, version] : begun) {
+            const std::string again = "again " + id;
+            send(address, again, "3", id);
+            pass(4 * Step);
+            if (versions_.contains(again)) {
+                EXPECT_EQ(versions_[again], version) << again;
+                ++resumed;
+                RelayCommands commands;
+                nodes_.at(address)->ended({ attempts_.at(again) }, clock_.now(), commands);
+                deliver(address, commands);
+            } else {
+                EXPECT_TRUE(refusals_.contains(again)) << again;
+            }
+        }
+        return resumed;
+    }
+
     /** Callers take up all streams, each at each node, with and without the name of the request that began it. */
     void takeUpStreams(const std::string &moment)
     {
@@ -377,6 +406,69 @@
     }
 }
 
+// Guards against refusing a stream because the nodes that remember it are gone for good.
+TEST_F(FleetRestartTest, StreamsGoOnAtTheOnlyNodeThatIsLeft)
+{
+    for (const int count : { 2, 9, 65 }) {
+        SCOPED_TRACE(count);
+        reset();
+        startNodes(count);
+        pass(seconds(5));
+        beginStreams();
+        pass(milliseconds(200));
+        killAllBut("node-0");
+        EXPECT_EQ(takeUpBegunStreams("node-0"), count);
+        EXPECT_EQ(originWrites_, 0) << "the notes are enough";
+    }
+}
+
+// The same while two versions serve, of streams that began long enough before to be stored.
+TEST_F(FleetRestartTest, StreamsOfBothVersionsGoOnAtTheOnlyNodeThatIsLeft)
+{
+    for (const int count : { 2, 9, 65 }) {
+        SCOPED_TRACE(count);
+        reset();
+        startNodes(count);
+        pass(seconds(5));
+        serve("new-1", "v2");
+        serve("new-2", "v2");
+        pass(seconds(10));
+        beginStreams();
+        pass(seconds(1));
+        killAllBut("node-0");
+        EXPECT_EQ(takeUpBegunStreams("node-0"), count);
+    }
+}
+
+// A silent node may have begun a stream at a version that this one has never seen.
+TEST_F(FleetRestartTest, OnlyNodeThatIsLeftJoinsNoVersionsThatItCannotTellApart)
+{
+    for (const Departure &departure : departures) {
+        SCOPED_TRACE(departure.name);
+        reset();
+        startNodes(9);
+        pass(seconds(5));
+        serve("new-1", "v2");
+        serve("new-2", "v2");
+        pass(seconds(10));
+        const TimePoint killAt = clock_.now() + seconds(16);
+        for (const TimePoint end = killAt + seconds(8); clock_.now() < end; pass(Step)) {
+            if (clock_.now() >= killAt + departure.afterKill) {
+                withdraw("v1");
+            }
+            if (clock_.now() + Step >= killAt && nodes_.size() > 1) {
+                beginStreams();
+                killAllBut("node-0");
+            }
+        }
+        EXPECT_LT(takeUpBegunStreams("node-0"), 9) << "not all origins were stored in time";
+        for (const auto &[id, refusal] : refusals_) {
+            EXPECT_EQ(refusal.outcome, Outcome::NotRun) << id;
+            EXPECT_TRUE(refusal.error.retryAfter.has_value()) << id;
+        }
+    }
+}
+
 TEST_F(FleetRestartTest, StreamsThatWereCompleteAreNotKept)
 {
     reset();
--- a/tests/servers/relay/stream_origins_test.cpp
+++ b/tests/servers/relay/stream_origins_test.cpp
@@ -119,8 +119,8 @@
     addNodes(9);
     const std::vector<OutgoingStreamMessage> queries = node(1).startLookup("unknown", now_);
     ASSERT_GT(queries.size(), 1U);
-    EXPECT_FALSE(node(1).hasAnswer("unknown"));
     for (std::size_t index = 0; index < queries.size(); ++index) {
+        EXPECT_EQ(node(1).silentNodes("unknown"), queries.size() - index);
         const NodeName name(queries[index].address);
         EXPECT_EQ(node(1).receive(StreamReply { name, "unknown", std::nullopt }), index + 1 == queries.size());
     }
--- a/tests/servers/relay/stream_resumption_test.cpp
+++ b/tests/servers/relay/stream_resumption_test.cpp
@@ -209,8 +209,12 @@
     tick();
     EXPECT_EQ(sent<StreamQuery>().size(), 2 * asked);
     EXPECT_TRUE(refusals(request).empty());
+    EXPECT_EQ(notesAsked(), 0U);
     advance(milliseconds(100));
     tick();
+    EXPECT_EQ(notesAsked(), 1U);
+    readNotes();
+    system_.storedOriginsRead({}, clock_.now(), clock_.now(), commands_);
     ASSERT_EQ(refusals(request).size(), 1U);
     EXPECT_EQ(refusals(request)[0].error.code, ResultCode::StreamOriginUnknown);
     reply("node-1", "lost", first_);
@@ -374,13 +378,31 @@
 {
     upstreams_[1].version = "v1";
     listFor(30);
+    const TimePoint before = clock_.now();
     const RequestId request = takeUp("lost");
     advance(StreamLookupTimeout);
     tick();
+    readNotesAsOf(before);
+    EXPECT_TRUE(dispatches(request).empty());
+    passTime();
     EXPECT_EQ(refusals(request).size(), 1U);
     EXPECT_TRUE(dispatches(request).empty());
 }
 
+// Guards against refusing a stream because other nodes are gone or cut off, though the store tells its version.
+TEST_F(StreamResumptionTest, NodeThatReachesOnlyTheStoreTrustsItsNotes)
+{
+    upstreams_[1].version = "v1";
+    listFor(1);
+    const RequestId request = takeUp("lost");
+    advance(StreamLookupTimeout);
+    tick();
+    EXPECT_TRUE(dispatches(request).empty());
+    readNotes();
+    ASSERT_EQ(dispatches(request).size(), 1U);
+    EXPECT_EQ(takeUpField("step"), std::vector<std::string> { "notes" });
+}
+
 TEST_F(StreamResumptionTest, StreamWhoseVersionIsGoneIsRejectedAtOnce)
 {
     const RequestId request = takeUp("begun");
--- a/tests/system/relay_process_test.cpp
+++ b/tests/system/relay_process_test.cpp
@@ -309,6 +309,47 @@
     EXPECT_EQ(takeUp(breakStreams(replaceVersion)), 0);
 }
 
+// Guards against refusing a stream because the processes that remember it are gone for good.
+TEST_F(RelayProcessTest, StreamsGoOnAtTheOnlyProcessThatIsLeft)
+{
+    constexpr std::size_t Processes = 6;
+    constexpr int Streams = 15;
+    moreSettings_ = "first_start: true\n";
+    while (processes_.size() < Processes) {
+        addProcess();
+    }
+    ASSERT_TRUE(runUntil([&]() {
+        return std::all_of(processes_.begin(), processes_.end(), [](const RelayProcess &process) {
+            return readFile(process.outputPath).find("event=nodes_listed nodes=6") != std::string::npos;
+        });
+    }));
+    std::vector<std::shared_ptr<RawConnection>> connections;
+    for (int number = 0; number < Streams; ++number) {
+        connections.push_back(connectTo(processes_[static_cast<std::size_t>(number) % (Processes - 1)].callerAddress));
+        connections.back()->send(
+            request("s" + std::to_string(number), "POST", "/live/1", "prompt", "Stand-In: events=60 gap=60\r\n"));
+    }
+    ASSERT_TRUE(runUntil([&]() {
+        return std::all_of(connections.begin(),
+                           connections.end(),
+                           [](const std::shared_ptr<RawConnection> &connection) { return connection->has("id: 3\n"); });
+    }));
+    for (std::size_t index = 0; index + 1 < Processes; ++index) {
+        processes_[index].child->kill();
+    }
+    for (int number = 0; number < Streams; ++number) {
+        const std::string id = "s" + std::to_string(number);
+        const ReceivedResponse rest =
+            sendRequestToProcess(processes_.back(),
+                                 request("again-" + id,
+                                         "POST",
+                                         "/live/1",
+                                         "prompt",
+                                         "Last-Event-Id: 3\r\nResumes: " + id + "\r\nStand-In: events=5 gap=1\r\n"));
+        EXPECT_EQ(rest.status, 200U) << id;
+    }
+}
+
 TEST_F(RelayProcessTest, FrozenNodeRejectsRevokedKeyAfterResuming)
 {
     RelayProcess &process = addProcess(800);
