Store the origins of streams while the notes of a restored store prove nothing

Callers who come back to a node that cannot ask the others, within ten minutes after the store was restored from a copy, are refused with stream_origin_unknown though the pool has had one version all the time (LOST). The same holds after the loss of all nodes.

Cause: after a restoration the notes on versions prove nothing for ten minutes, since the copy may lack the last ones, so a search goes on to the stored origins. These are written only for pools whose notes name several versions; the restoration did not count there. The path is next to that of the streams refused at the only node that is left: the store was asked, and nothing had been stored.

FleetState::ambiguousPools now returns all pools in that time, by the same condition that keeps onlyVersion from answering.

--- a/servers/relay/fleet_state.cpp
+++ b/servers/relay/fleet_state.cpp
@@ -70,10 +70,19 @@
 }
 
 std::optional<std::string> FleetState::onlyVersion(const PoolName &pool, TimePoint now) const
+{
+    return mayLackNotes(now) ? std::nullopt : versionNotes_.onlyVersion(pool);
+}
+
+std::set<PoolName> FleetState::ambiguousPools(TimePoint now) const
+{
+    return mayLackNotes(now) ? versionNotes_.pools() : versionNotes_.ambiguousPools(now);
+}
+
+bool FleetState::mayLackNotes(TimePoint now) const
 {
     // A restored store has lost what was noted last.
-    const bool mayLackNotes = storeEras_.era() != 0 && now - storeEras_.since() < MaxTakeUpAge;
-    return mayLackNotes ? std::nullopt : versionNotes_.onlyVersion(pool);
+    return storeEras_.era() != 0 && now - storeEras_.since() < MaxTakeUpAge;
 }
 
 bool FleetState::noteNotice(const UpstreamIdentity &upstream, const UpstreamNotice &notice, TimePoint now)
--- a/servers/relay/fleet_state.h
+++ b/servers/relay/fleet_state.h
@@ -42,6 +42,9 @@
      *  others. */
     std::optional<std::string> onlyVersion(const PoolName &pool, TimePoint now) const;
 
+    /** Pools of which the notes do not tell at which version a stream began. */
+    std::set<PoolName> ambiguousPools(TimePoint now) const;
+
     /** Handles the report of another node. */
     void receive(const PeerReport &report, TimePoint now, RelayCommands &commands);
 
@@ -79,6 +82,8 @@
 private:
     void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
     NoteKeeperRank noteKeeperRank() const;
+    /** True if the store may have lost notes on versions at which streams that can be taken up have begun. */
+    bool mayLackNotes(TimePoint now) const;
 
     NodeName self_;
     std::uint64_t incarnation_ = 0;
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -36,7 +36,7 @@
     if (now < nextBackup_ || !backup_.hasChanged()) {
         return std::nullopt;
     }
-    const std::set<PoolName> pools = fleet_.versionNotes().ambiguousPools(now);
+    const std::set<PoolName> pools = fleet_.ambiguousPools(now);
     const std::optional<Duration> storeNow = fleet_.versionNotes().storeTime(now);
     if (!storeNow.has_value() || (pools.empty() && !isBackedUp_)) {
         return std::nullopt;
--- a/servers/routing/version_notes.cpp
+++ b/servers/routing/version_notes.cpp
@@ -219,6 +219,15 @@
     return possible;
 }
 
+std::set<PoolName> VersionNotes::pools() const
+{
+    std::set<PoolName> names;
+    for (const auto &[name, pool] : pools_) {
+        names.insert(name);
+    }
+    return names;
+}
+
 std::set<PoolName> VersionNotes::ambiguousPools(TimePoint now) const
 {
     std::set<PoolName> ambiguous;
--- a/servers/routing/version_notes.h
+++ b/servers/routing/version_notes.h
@@ -98,6 +98,9 @@
      *  absent if there may be others. */
     std::optional<std::string> onlyVersion(const PoolName &pool) const;
 
+    /** All pools that serve resumable streams. */
+    std::set<PoolName> pools() const;
+
     /** Pools of which streams that can be taken up may have begun at more than one version. */
     std::set<PoolName> ambiguousPools(TimePoint now) const;
 
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -113,7 +113,8 @@
                                      clock_.now(),
                                      clock_.now(),
                                      commands);
-            node->updateUpstreams({ upstreams_, {} }, clock_.now(), clock_.now(), commands);
+            node->updateUpstreams(
+                { upstreams_, versionTable_.read(clock_.now()).state }, clock_.now(), clock_.now(), commands);
             deliver(address, commands);
             keepNotes(address);
         }
@@ -440,6 +441,23 @@
     }
 }
 
+// Guards against losing streams because the notes of a restored store prove nothing for ten minutes.
+TEST_F(FleetRestartTest, StreamsGoOnAtTheOnlyNodeThatIsLeftAfterTheStoreWasRestored)
+{
+    for (const int count : { 2, 9, 65 }) {
+        SCOPED_TRACE(count);
+        reset();
+        startNodes(count);
+        pass(seconds(5));
+        versionTable_.restore();
+        pass(seconds(10));
+        beginStreams();
+        pass(seconds(1));
+        killAllBut("node-0");
+        EXPECT_EQ(takeUpBegunStreams("node-0"), count);
+    }
+}
+
 // A silent node may have begun a stream at a version that this one has never seen.
 TEST_F(FleetRestartTest, OnlyNodeThatIsLeftJoinsNoVersionsThatItCannotTellApart)
 {
