Write the origins of streams again when the store was restored

A node writes its row of unfinished streams when these change. A store that is restored from a copy may have lost the row, and a node whose streams go on without a change did not write it again, so that callers who come back after the loss of that node are refused.

--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -33,7 +33,9 @@
 std::optional<StoredOriginRow> StreamLocator::takeBackup(TimePoint now)
 {
     backup_.expire(now);
-    if (now < nextBackup_ || !backup_.hasChanged()) {
+    // A restored store may have lost the row.
+    const std::uint64_t era = fleet_.storeEras().era();
+    if (now < nextBackup_ || (!backup_.hasChanged() && era == backupEra_)) {
         return std::nullopt;
     }
     const std::set<PoolName> pools = fleet_.ambiguousPools(now);
@@ -42,6 +44,7 @@
         return std::nullopt;
     }
     isBackedUp_ = !pools.empty();
+    backupEra_ = era;
     const std::size_t nodes = fleet_.nodes().sharingNodes().value_or(NodeRegistry::MinSharingNodes);
     nextBackup_ = now + std::max(MinBackupPeriod, BackupPeriodPerNode * static_cast<Duration::rep>(nodes));
     return backup_.takeRow(pools, *storeNow);
--- a/servers/relay/stream_locator.h
+++ b/servers/relay/stream_locator.h
@@ -104,6 +104,8 @@
     TimePoint nextBackup_;
     /** True if the store may have a row of this node. */
     bool isBackedUp_ = false;
+    /** The store's era when this node's row was last written. */
+    std::uint64_t backupEra_ = 0;
     std::map<RequestId, Search> searches_;
     std::vector<LocatedStream> located_;
 };
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -458,6 +458,24 @@
     }
 }
 
+// Guards against losing streams because their origins were in the store before it was restored, but not in the copy.
+TEST_F(FleetRestartTest, OriginsThatTheStoreHasLostAreStoredAgain)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    serve("new-1", "v2");
+    serve("new-2", "v2");
+    pass(seconds(10));
+    beginStreams();
+    pass(seconds(1));
+    storedOrigins_.rows.clear();
+    versionTable_.restore();
+    pass(seconds(2));
+    killAllBut("node-0");
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 9);
+}
+
 // A silent node may have begun a stream at a version that this one has never seen.
 TEST_F(FleetRestartTest, OnlyNodeThatIsLeftJoinsNoVersionsThatItCannotTellApart)
 {
