Store the origins of streams wherever the notes do not tell where they began

Callers who come back after the loss of most nodes are refused with stream_origin_unknown for ten minutes after any change of the routes of resumable streams, and always if their route goes to several pools (LOST).

Cause: the notes prove nothing then, since a stream may have begun in another pool, but origins are stored by another condition, which looked at versions only.

A pool now counts as ambiguous exactly if onlyVersion does not answer for it, or if one of its routes goes to other pools, too; the two can no longer differ.

--- a/servers/routing/version_notes.cpp
+++ b/servers/routing/version_notes.cpp
@@ -46,6 +46,7 @@
 void VersionNotes::updateRoutes(const RouteTable &table, TimePoint now)
 {
     std::map<PoolName, std::uint64_t> digests;
+    std::set<PoolName> sharing;
     for (const Route &route : table.configuration().routes) {
         if (!route.streamed || !route.resumable) {
             continue;
@@ -54,11 +55,15 @@
         const std::uint64_t digest = digestOf(route);
         for (const PoolShare &share : route.pools) {
             digests[share.pool] += digest;
+            if (route.pools.size() > 1) {
+                sharing.insert(share.pool);
+            }
         }
     }
     std::erase_if(pools_, [&digests](const auto &item) { return digests.count(item.first) == 0; });
     for (const auto &[pool, digest] : digests) {
         pools_[pool].routes = digest;
+        pools_[pool].sharesRoutes = sharing.count(pool) > 0;
         pools_[pool].versions = versions_[pool];
     }
     compare(now);
@@ -192,13 +197,18 @@
 }
 
 std::optional<std::string> VersionNotes::onlyVersion(const PoolName &pool) const
+{
+    const bool hasClock = stored_.has_value() && stored_->state.clock.has_value();
+    return hasClock ? onlyVersion(pool, *stored_->state.clock) : std::nullopt;
+}
+
+std::optional<std::string> VersionNotes::onlyVersion(const PoolName &pool, Duration storeNow) const
 {
     const PoolNote *note = find(pool);
     const auto seen = pools_.find(pool);
-    if (note == nullptr || seen == pools_.end() || !stored_->state.clock.has_value()) {
+    if (note == nullptr || seen == pools_.end()) {
         return std::nullopt;
     }
-    const Duration storeNow = *stored_->state.clock;
     const bool routesMayDiffer = note->routes != seen->second.routes || mayBeTakenUp(note->routesSince, storeNow);
     if (routesMayDiffer || mayBeTakenUp(note->since, storeNow)) {
         return std::nullopt;
@@ -233,9 +243,7 @@
     std::set<PoolName> ambiguous;
     const std::optional<Duration> storeNow = storeTime(now);
     for (const auto &[name, pool] : pools_) {
-        const PoolNote *note = find(name);
-        const bool isKnown = note != nullptr && storeNow.has_value() && !mayBeTakenUp(note->since, *storeNow);
-        if (!isKnown || possibleVersions(pool, *note, *storeNow).size() > 1) {
+        if (pool.sharesRoutes || !storeNow.has_value() || !onlyVersion(name, *storeNow).has_value()) {
             ambiguous.insert(name);
         }
     }
--- a/servers/routing/version_notes.h
+++ b/servers/routing/version_notes.h
@@ -101,7 +101,7 @@
     /** All pools that serve resumable streams. */
     std::set<PoolName> pools() const;
 
-    /** Pools of which streams that can be taken up may have begun at more than one version. */
+    /** Pools of which the notes do not tell where a stream that can be taken up has begun. */
     std::set<PoolName> ambiguousPools(TimePoint now) const;
 
     /** The store's clock at some time, counted on from the last read; absent if it is not known. */
@@ -112,6 +112,8 @@
     struct Pool
     {
         std::uint64_t routes = 0;
+        /** True if a route goes to this pool and to others, so that a stream of the route may have begun in either. */
+        bool sharesRoutes = false;
         std::set<std::string> versions;
         /** Since when an upstream has stated a version that is not noted as serving. */
         std::optional<TimePoint> unnotedSince;
@@ -120,6 +122,7 @@
     };
 
     void compare(TimePoint now);
+    std::optional<std::string> onlyVersion(const PoolName &pool, Duration storeNow) const;
     static bool isDue(const PoolName &name, const Pool &pool, const NoteKeeperRank &rank, TimePoint now);
     /** The versions at which streams that can be taken up may have begun. */
     static std::set<std::string> possibleVersions(const Pool &pool, const PoolNote &note, Duration storeNow);
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -458,6 +458,46 @@
     }
 }
 
+// Guards against losing streams because the notes do not tell which pool a changed route went to when they began.
+TEST_F(FleetRestartTest, StreamsGoOnAtTheOnlyNodeThatIsLeftAfterTheRoutesWereChanged)
+{
+    for (const int count : { 2, 9, 65 }) {
+        SCOPED_TRACE(count);
+        reset();
+        startNodes(count);
+        pass(seconds(5));
+        configuration_.version = ConfigurationVersion(configuration_.version.value() + 1);
+        configuration_.routes.push_back(configuration_.routes.front());
+        configuration_.routes.back().name = "more";
+        configuration_.routes.back().pathPrefix = "/live/more/" + std::to_string(count) + "/";
+        pass(seconds(10));
+        beginStreams();
+        pass(seconds(1));
+        killAllBut("node-0");
+        EXPECT_EQ(takeUpBegunStreams("node-0"), count);
+    }
+}
+
+// Guards against losing streams of a route that goes to several pools, of which the notes do not tell the stream's.
+TEST_F(FleetRestartTest, StreamsOfASplitRouteGoOnAtTheOnlyNodeThatIsLeft)
+{
+    configuration_.pools.push_back(configuration_.pools.front());
+    configuration_.pools.back().name = PoolName("more-engines");
+    configuration_.routes.front().pools.push_back({ PoolName("more-engines"), 1 });
+    for (const int count : { 2, 9, 65 }) {
+        SCOPED_TRACE(count);
+        reset();
+        upstreams_.push_back(upstreamOf("more-1", "more-engines", 64));
+        upstreams_.back().version = "v1";
+        startNodes(count);
+        pass(seconds(5));
+        beginStreams();
+        pass(seconds(1));
+        killAllBut("node-0");
+        EXPECT_EQ(takeUpBegunStreams("node-0"), count);
+    }
+}
+
 // Guards against losing streams because their origins were in the store before it was restored, but not in the copy.
 TEST_F(FleetRestartTest, OriginsThatTheStoreHasLostAreStoredAgain)
 {
