Write origins again after a write that failed, and only if they differ

A node whose row of unfinished streams could not be written did not try again until its streams changed, so that callers who come back after the loss of that node were refused. On the other hand each change of any stream wrote the row, also one that left it as it was, which matters more now that rows are written wherever the notes do not tell.

The locator now remembers what the store has.

FleetRestartTest.OriginsWhoseWriteFailedAreWrittenAgain and RowOfOriginsIsWrittenOnlyIfItDiffers failed before.

--- a/main/relay/stored_origin_sync.cpp
+++ b/main/relay/stored_origin_sync.cpp
@@ -54,12 +54,14 @@
 void StoredOriginSync::write(StoredOriginRow row)
 {
     writing_ = true;
-    store_.writeStoredOrigins({ key_, std::move(row), std::exchange(outdatedRows_, {}) },
-                              [this](const Result<StoreState> &result) {
-                                  writing_ = false;
-                                  LOG_IF(WARNING, !succeeded(result))
-                                      << "event=origins_not_stored message=\"" << errorOf(result).message << '"';
-                              });
+    store_.writeStoredOrigins(
+        { key_, std::move(row), std::exchange(outdatedRows_, {}) }, [this](const Result<StoreState> &result) {
+            writing_ = false;
+            if (!succeeded(result)) {
+                system_.originBackupFailed();
+                LOG(WARNING) << "event=origins_not_stored message=\"" << errorOf(result).message << '"';
+            }
+        });
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -86,6 +86,9 @@
     /** The row of this node's streams for the store if it must be written now. */
     std::optional<StoredOriginRow> takeOriginBackup(TimePoint now) { return locator_.takeBackup(now); }
 
+    /** Records that the row that was taken last may not have been written. */
+    void originBackupFailed() { locator_.backupFailed(); }
+
     /** Handles what another relay knows about crashes. */
     void crashReportReceived(const CrashReport &report, TimePoint now) { quarantine_.receive(report, now); }
 
--- a/servers/relay/stored_origins.h
+++ b/servers/relay/stored_origins.h
@@ -1,4 +1,4 @@
-/** Origins of streams that the store keeps while a stream may have begun at one of several versions. */
+/** Origins of streams that the store keeps while the notes on versions do not tell them. */
 #pragma once
 
 #include <cstdint>
@@ -17,7 +17,9 @@
 struct StoredOriginRow
 {
     /** Hashes of the streams' identifiers. */
-    std::map<StreamOrigin, std::vector<std::uint64_t>> streams;
+    using Streams = std::map<StreamOrigin, std::vector<std::uint64_t>>;
+
+    Streams streams;
     /** The store's clock when the row was written, as far as the node knew it. */
     Duration writtenAt { 0 };
 
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -33,21 +33,28 @@
 std::optional<StoredOriginRow> StreamLocator::takeBackup(TimePoint now)
 {
     backup_.expire(now);
-    // A restored store may have lost the row.
-    const std::uint64_t era = fleet_.storeEras().era();
-    if (now < nextBackup_ || (!backup_.hasChanged() && era == backupEra_)) {
+    if (fleet_.storeEras().era() != backupEra_) {
+        // A restored store may have lost the row.
+        backupEra_ = fleet_.storeEras().era();
+        storedStreams_.reset();
+    }
+    if (now < nextBackup_ || (!backup_.hasChanged() && storedStreams_.has_value())) {
         return std::nullopt;
     }
     const std::set<PoolName> pools = fleet_.ambiguousPools(now);
     const std::optional<Duration> storeNow = fleet_.versionNotes().storeTime(now);
-    if (!storeNow.has_value() || (pools.empty() && !isBackedUp_)) {
+    const bool hasEmptyRow = storedStreams_.has_value() && storedStreams_->empty();
+    if (!storeNow.has_value() || (pools.empty() && hasEmptyRow)) {
         return std::nullopt;
     }
-    isBackedUp_ = !pools.empty();
-    backupEra_ = era;
     const std::size_t nodes = fleet_.nodes().sharingNodes().value_or(NodeRegistry::MinSharingNodes);
     nextBackup_ = now + std::max(MinBackupPeriod, BackupPeriodPerNode * static_cast<Duration::rep>(nodes));
-    return backup_.takeRow(pools, *storeNow);
+    StoredOriginRow row = backup_.takeRow(pools, *storeNow);
+    if (row.streams == storedStreams_) {
+        return std::nullopt;
+    }
+    storedStreams_ = row.streams;
+    return row;
 }
 
 void StreamLocator::startSearch(const RelayRow &row, TimePoint now, RelayCommands &commands)
--- a/servers/relay/stream_locator.h
+++ b/servers/relay/stream_locator.h
@@ -38,8 +38,7 @@
 /** Searches in four steps. What this node remembers. What the few other nodes remember that may know, as far as they
  *  answer in time. The notes in the store: they are read after the caller came back, so they name every version at
  * which the stream can have begun, and tell its origin if there is only one. The unfinished streams of each node, which
- * the store keeps as long as there are several versions; those that began just before their node was lost are missing.
- */
+ * the store keeps where the notes do not tell; those that began just before their node was lost are missing. */
 class StreamLocator
 {
 public:
@@ -73,6 +72,9 @@
     /** The row of this node's streams for the store if it must be written now. */
     std::optional<StoredOriginRow> takeBackup(TimePoint now);
 
+    /** Records that the row that was taken last may not have been written. */
+    void backupFailed() { storedStreams_.reset(); }
+
     /** To be called every few tens of milliseconds. */
     void tick(TimePoint now, RelayCommands &commands);
 
@@ -102,9 +104,9 @@
     StreamOrigins origins_;
     OriginBackup backup_;
     TimePoint nextBackup_;
-    /** True if the store may have a row of this node. */
-    bool isBackedUp_ = false;
-    /** The store's era when this node's row was last written. */
+    /** What this node's row in the store says; absent if that is not known. */
+    std::optional<StoredOriginRow::Streams> storedStreams_ = StoredOriginRow::Streams();
+    /** The store's era in which the row was written. */
     std::uint64_t backupEra_ = 0;
     std::map<RequestId, Search> searches_;
     std::vector<LocatedStream> located_;
--- a/tests/servers/relay/fleet_restart_test.cpp
+++ b/tests/servers/relay/fleet_restart_test.cpp
@@ -545,6 +545,37 @@
     }
 }
 
+// Guards against losing streams that go on without a change after the write of their origins has failed.
+TEST_F(FleetRestartTest, OriginsWhoseWriteFailedAreWrittenAgain)
+{
+    reset();
+    startNodes(1);
+    serve("new-1", "v2");
+    pass(seconds(5));
+    beginStreams();
+    pass(seconds(1));
+    ASSERT_EQ(storedOrigins_.rows.size(), 1U);
+    storedOrigins_.rows.clear();
+    nodes_.begin()->second->originBackupFailed();
+    pass(seconds(1));
+    ASSERT_EQ(storedOrigins_.rows.size(), 1U);
+    EXPECT_FALSE(storedOrigins_.rows.begin()->second.streams.empty());
+}
+
+TEST_F(FleetRestartTest, RowOfOriginsIsWrittenOnlyIfItDiffers)
+{
+    reset();
+    startNodes(1);
+    serve("new-1", "v2");
+    pass(seconds(5));
+    const int before = originWrites_;
+    beginStreams();
+    RelayCommands commands;
+    nodes_.begin()->second->ended({ attempts_.at("begun at node-0") }, clock_.now(), commands);
+    pass(seconds(2));
+    EXPECT_EQ(originWrites_, before) << "the stream was complete before it could be written";
+}
+
 TEST_F(FleetRestartTest, StreamsThatWereCompleteAreNotKept)
 {
     reset();
