--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -42,7 +42,7 @@
 /** The row's attempt was sent. */
 Decision recordDispatch(const RelayRow &row, const Placement &placement, TimePoint now);
 
-/** The row's request takes up a stream that began there. */
+/** The search for the origin of the stream that the row's request takes up has ended. */
 Decision recordTakeUp(const RelayRow &row, const LocatedStream &located);
 
 /** ahead: requests that are served before it. utilization: estimated share of the pool's seats in use. */
--- a/servers/relay/stream_locator.h
+++ b/servers/relay/stream_locator.h
@@ -37,8 +37,8 @@
 
 /** Searches in four steps. What this node remembers. What the few other nodes remember that may know, as far as they
  *  answer in time. The notes in the store: they are read after the caller came back, so they name every version at
- * which the stream can have begun, and tell its origin if there is only one. The unfinished streams of each node, which
- * the store keeps where the notes do not tell; those that began just before their node was lost are missing. */
+ *  which the stream can have begun, and tell its origin if there is only one. The unfinished streams of each node,
+ *  which the store keeps where the notes do not tell; those that began just before their node was lost are missing. */
 class StreamLocator
 {
 public:
