Play random losses of nodes, links, the store's reach and versions

RandomLossTest holds what must not come of it: no stream may go on at another version than the one that began it, while nodes are lost and start again, messages are lost, nodes do not reach the store, and versions come and go.

--- a/tests/servers/relay/fleet_fixture.cpp
+++ b/tests/servers/relay/fleet_fixture.cpp
@@ -33,6 +33,8 @@
 void FleetFixture::reset()
 {
     nodes_.clear();
+    storeless_.clear();
+    silent_.clear();
     upstreams_.clear();
     versions_.clear();
     refusals_.clear();
@@ -85,6 +87,9 @@
 void FleetFixture::readStore()
 {
     for (auto &[address, node] : nodes_) {
+        if (!reachesStore(address)) {
+            continue;
+        }
         RelayCommands commands;
         node->applyConfiguration(
             { std::make_shared<const SiteConfiguration>(configuration_), 1, {} }, clock_.now(), clock_.now(), commands);
@@ -140,8 +145,10 @@
             RelayCommands commands;
             node->tick(clock_.now(), commands);
             deliver(address, commands);
-            keepNotes(address);
-            keepOrigins(address);
+            if (reachesStore(address)) {
+                keepNotes(address);
+                keepOrigins(address);
+            }
         }
         if (sinceRead_ >= seconds(1)) {
             sinceRead_ = Duration(0);
@@ -178,9 +185,9 @@
             attempts_[ids_.at(dispatch->request)] = dispatch->attempt;
         } else if (const auto *refusal = std::get_if<RelayRefusal>(&command)) {
             refusals_[ids_.at(refusal->request)] = *refusal;
-        } else if (std::holds_alternative<ReadVersionNotes>(command)) {
+        } else if (std::holds_alternative<ReadVersionNotes>(command) && reachesStore(from)) {
             readNotes(from);
-        } else if (std::holds_alternative<ReadStoredOrigins>(command)) {
+        } else if (std::holds_alternative<ReadStoredOrigins>(command) && reachesStore(from)) {
             readStoredOrigins(from);
         }
     }
@@ -189,7 +196,7 @@
 void FleetFixture::deliver(const std::string &from, const OutgoingStreamMessage &message)
 {
     const auto receiver = nodes_.find(message.address);
-    if (receiver == nodes_.end()) {
+    if (receiver == nodes_.end() || silent_.count(from) + silent_.count(message.address) > 0) {
         return;
     }
     RelayCommands commands;
--- a/tests/servers/relay/fleet_fixture.h
+++ b/tests/servers/relay/fleet_fixture.h
@@ -34,6 +34,8 @@
 
     void startNodes(int count);
 
+    bool reachesStore(const std::string &address) const { return storeless_.count(address) == 0; }
+
     void killAll() { nodes_.clear(); }
 
     /** The others neither start again nor leave the list of nodes. */
@@ -85,6 +87,9 @@
     bool isFirstStart_ = true;
     SteppedClock clock_;
     std::map<std::string, std::unique_ptr<RelaySystem>> nodes_;
+    /** Nodes that do not reach the store, and nodes whose messages do not reach others or come from them. */
+    std::set<std::string> storeless_;
+    std::set<std::string> silent_;
     std::map<RequestId, std::string> ids_;
     /** Of the last upstream that each request was sent to. */
     std::map<std::string, std::string> versions_;
