Tell from the log and the metrics why a request was given up

Cause: a request that is cut or refused after a failure ends with outcome=failed and the code of that failure. No line said what kept it from another attempt (the retry budget, the route's attempts, no upstream, no room), or for how long its upstream had been silent, so the hypotheses of the incident could not be told apart.

Change: finish lines carry "reason", attempt_failed lines "silent_ms", and geranium_relay_given_up_total counts by reason and by whether part of an answer was sent. The reasons are an enumeration from which the result code follows, in place of a code chosen at each call. Nothing is decided differently.

--- a/main/relay/relay_metrics.cpp
+++ b/main/relay/relay_metrics.cpp
@@ -7,6 +7,8 @@
 const MetricFamily requestsTotal { "geranium_relay_requests_total", "Requests that got their final answer." };
 const MetricFamily firstByteSeconds { "geranium_relay_first_byte_seconds",
                                       "Time from arrival to the first part of the answer." };
+const MetricFamily givenUpTotal { "geranium_relay_given_up_total",
+                                  "Requests that were given up, by reason and by whether part of an answer was sent." };
 const MetricFamily requestSeconds { "geranium_relay_request_seconds", "Time from arrival to the final answer." };
 const MetricFamily attemptsTotal { "geranium_relay_attempts_total", "Attempts at upstreams." };
 const MetricFamily decisionsTotal { "geranium_relay_decisions_total", "Decisions by kind." };
@@ -42,6 +44,13 @@
                    { "outcome", std::string(outcomeName(measured.outcome)) },
                    { "code", std::string(resultCodeName(measured.code)) } })
         .add();
+    if (measured.givenUpFor.has_value()) {
+        registry_
+            .counter(givenUpTotal,
+                     { { "reason", giveUpReasonName(*measured.givenUpFor) },
+                       { "answering", measured.firstByte.has_value() ? "true" : "false" } })
+            .add();
+    }
     registry_.histogram(requestSeconds, { tier }).record(measured.total);
     if (measured.firstByte.has_value()) {
         registry_.histogram(firstByteSeconds, { tier }).record(*measured.firstByte);
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -232,26 +232,26 @@
     return notices_.acceptsRequests(entry) && entry.pool == query.pool && query.accepts(entry.version);
 }
 
-std::optional<ResultCode> RelayPlacement::blockedUntil(const UpstreamDirectory &directory,
-                                                       const PlacementQuery &query,
-                                                       TimePoint until,
-                                                       std::size_t ahead,
-                                                       TimePoint now) const
+std::optional<GiveUpReason> RelayPlacement::blockedUntil(const UpstreamDirectory &directory,
+                                                         const PlacementQuery &query,
+                                                         TimePoint until,
+                                                         std::size_t ahead,
+                                                         TimePoint now) const
 {
-    std::optional<ResultCode> cause;
+    std::optional<GiveUpReason> cause;
     std::size_t permitted = 0;
     for (const auto &[name, entry] : directory.entries()) {
         if (!mayServe(entry, query)) {
             continue;
         }
         if (notices_.pausedUntil(entry) > until) {
-            cause = cause.value_or(ResultCode::UpstreamPaused);
+            cause = cause.value_or(GiveUpReason::UpstreamsPaused);
             continue;
         }
         if (!limits_.isLimited(name)) {
             return std::nullopt;
         }
-        cause = ResultCode::UpstreamLimited;
+        cause = GiveUpReason::UpstreamsLimited;
         permitted += limits_.permitsUntil(name, until, now);
     }
     return permitted > ahead ? std::nullopt : cause;
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -65,11 +65,11 @@
 
     /** Why no upstream will accept the request by some time: all that may serve it have asked for a pause, or limit
      *  their requests. ahead: requests that are sent before it. Absent if one may accept it. */
-    std::optional<ResultCode> blockedUntil(const UpstreamDirectory &directory,
-                                           const PlacementQuery &query,
-                                           TimePoint until,
-                                           std::size_t ahead,
-                                           TimePoint now) const;
+    std::optional<GiveUpReason> blockedUntil(const UpstreamDirectory &directory,
+                                             const PlacementQuery &query,
+                                             TimePoint until,
+                                             std::size_t ahead,
+                                             TimePoint now) const;
 
     /** This node's permits for all upstreams that may serve the request; absent unless all of them limit their
      *  requests. */
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -228,6 +228,7 @@
     decision.fields.emplace_back("code", std::string(resultCodeName(row.lastFailure)));
     decision.fields.emplace_back("attempt", std::to_string(row.attempts));
     decision.fields.emplace_back("after_ms", milliseconds(now - row.dispatchedAt));
+    decision.fields.emplace_back("silent_ms", milliseconds(now - row.progressAt));
     addResponseFields(decision, row);
     return decision;
 }
@@ -237,6 +238,9 @@
     Decision decision = requestDecision("finish", row);
     decision.fields.emplace_back("outcome", std::string(outcomeName(outcome)));
     decision.fields.emplace_back("code", std::string(resultCodeName(code)));
+    if (row.givenUpFor.has_value()) {
+        decision.fields.emplace_back("reason", giveUpReasonName(*row.givenUpFor));
+    }
     if (row.takesUpStream()) {
         decision.fields.emplace_back("resumes", row.request.resumedRequest);
     }
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 
+#include "servers/relay/give_up_reason.h"
 #include "servers/relay/relay_messages.h"
 #include "servers/routing/routing.h"
 
@@ -86,6 +87,8 @@
     bool callerGone = false;
     /** Why the last attempt failed. */
     ResultCode lastFailure = ResultCode::Ok;
+    /** Absent unless the request is given up. */
+    std::optional<GiveUpReason> givenUpFor;
 
     /** True if the request may be sent again even though an attempt may have run. */
     bool isRetryable() const { return route->isIdempotent || route->resumable; }
@@ -126,6 +129,7 @@
     std::optional<Duration> firstByte;
     Duration total { 0 };
     std::uint32_t attempts = 0;
+    std::optional<GiveUpReason> givenUpFor = std::nullopt;
 
     auto operator<=>(const RelayRequestMetrics &) const = default;
 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/relay/relay_records.h"
+#include "servers/relay/retry_rules.h"
 
 namespace GeraniumLever {
 
@@ -12,8 +13,6 @@
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpRedirection = 300;
 constexpr unsigned HttpServerError = 500;
-/** Failed connection attempts, none of which reached an upstream, after which a request is given up. */
-constexpr std::uint32_t MaxFailedConnects = 3;
 /** Share of the target for which a request may wait for capacity; after a longer wait it would hardly be answered in
  *  time. */
 constexpr double MaxWaitShareOfTarget = 0.25;
@@ -31,14 +30,6 @@
 constexpr Duration StreamOriginRetryAfter = std::chrono::milliseconds(300);
 /** Spreads the return of callers after a pause of all upstreams. */
 constexpr Duration PauseEndSpread = std::chrono::milliseconds(200);
-/** A retry is worth its cost only if at least this much time is left. */
-constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
-/** If no part of the response arrives for this many latency targets, a retryable request is sent to another
- *  upstream. */
-constexpr int FirstByteTimeoutTargets = 2;
-constexpr Duration MinFirstByteTimeout = std::chrono::milliseconds(500);
-/** If no event arrives for this many gap targets, a resumable stream is resumed at another upstream. */
-constexpr int StallTimeoutGaps = 4;
 
 } // namespace
 
@@ -209,24 +200,27 @@
     serveQueue(queueKey, now, commands);
 }
 
-std::optional<ResultCode> RelaySystem::obstacleOf(const RelayRow &row, TimePoint now) const
+std::optional<GiveUpReason> RelaySystem::obstacleOf(const RelayRow &row, TimePoint now) const
 {
     if (quarantine_.blockedFor(row.request.prompt, now) > Duration(0)) {
-        return ResultCode::PromptQuarantined;
+        return GiveUpReason::Quarantined;
     }
-    if (now >= row.deadline || (row.phase == RelayPhase::Waiting && now >= row.waitUntil)) {
-        return row.mayHaveRun ? row.lastFailure : ResultCode::Shed;
+    if (now >= row.deadline) {
+        return GiveUpReason::Deadline;
+    }
+    if (row.phase == RelayPhase::Waiting && now >= row.waitUntil) {
+        return GiveUpReason::WaitTimeout;
     }
     const Duration keyAge = fleet_.configuration().age(now).value_or(Duration::max());
     if (!row.mayHaveRun && !row.team.empty() && keyAge > settings_.stalenessLimits.keyLifetime) {
-        return ResultCode::ConfigurationOutdated;
+        return GiveUpReason::ConfigurationOutdated;
     }
     return std::nullopt;
 }
 
 void RelaySystem::place(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
-    const std::optional<ResultCode> obstacle = obstacleOf(row, now);
+    const std::optional<GiveUpReason> obstacle = obstacleOf(row, now);
     if (obstacle.has_value()) {
         giveUp(row, *obstacle, now, commands);
         return;
@@ -291,15 +285,15 @@
     const std::optional<double> utilization = placement_.seatUtilization(fleet_.directory(), row.pool, now);
     RelayQueue &queue = queues_[row.queueKey];
     if (!utilization.has_value() && !row.firstByte.has_value()) {
-        giveUp(row, ResultCode::NoUpstream, now, commands);
+        giveUp(row, GiveUpReason::NoUpstream, now, commands);
         return;
     }
     if (row.streamVersion.has_value() && !placement_.hasUpstream(fleet_.directory(), placementQueryOf(row))) {
-        giveUp(row, ResultCode::NoUpstream, now, commands);
+        giveUp(row, GiveUpReason::NoUpstream, now, commands);
         return;
     }
     if (queue.size() >= MaxWaiting) {
-        giveUp(row, ResultCode::QueueFull, now, commands);
+        giveUp(row, GiveUpReason::QueueFull, now, commands);
         return;
     }
     const Duration maxWait = row.firstByte.has_value()
@@ -307,14 +301,14 @@
         : std::chrono::duration_cast<Duration>(row.route->target * MaxWaitShareOfTarget);
     const std::size_t ahead = queue.estimateAhead(row.tier, row.team);
     if (ahead > 0 && retryAfterEstimatorOf(row).expectedWait(ahead) > maxWait) {
-        giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::Shed, now, commands);
+        giveUp(row, GiveUpReason::NoCapacity, now, commands);
         return;
     }
     const TimePoint waitUntil = std::min(row.deadline, now + maxWait);
-    const std::optional<ResultCode> blocked =
+    const std::optional<GiveUpReason> blocked =
         placement_.blockedUntil(fleet_.directory(), placementQueryOf(row), waitUntil, ahead, now);
     if (blocked.has_value()) {
-        giveUp(row, row.mayHaveRun ? row.lastFailure : *blocked, now, commands);
+        giveUp(row, *blocked, now, commands);
         return;
     }
     row.phase = RelayPhase::Waiting;
@@ -340,7 +334,7 @@
     for (const RequestId &request : paused) {
         RelayRow &row = *rows_.edit(request);
         leaveQueue(row);
-        giveUp(row, row.mayHaveRun ? row.lastFailure : ResultCode::UpstreamPaused, now, commands);
+        giveUp(row, GiveUpReason::UpstreamsPaused, now, commands);
     }
 }
 
@@ -362,7 +356,7 @@
     RelayQueue &queue = found->second;
     for (const RequestId &next : queue.first(MaxPlacementAttempts)) {
         RelayRow &row = *rows_.edit(next);
-        const std::optional<ResultCode> obstacle = obstacleOf(row, now);
+        const std::optional<GiveUpReason> obstacle = obstacleOf(row, now);
         if (obstacle.has_value()) {
             leaveQueue(row);
             giveUp(row, *obstacle, now, commands);
@@ -430,7 +424,7 @@
     const bool isAllowed = std::any_of(
         pools.begin(), pools.end(), [&origin](const PoolShare &share) { return share.pool == origin.pool; });
     if (!isAllowed) {
-        giveUp(row, ResultCode::NoUpstream, now, commands);
+        giveUp(row, GiveUpReason::NoUpstream, now, commands);
         return;
     }
     row.pool = origin.pool;
@@ -486,7 +480,7 @@
     const bool continues = head.status == HttpOk && head.resumable;
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
-        if (row->firstByte.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
+        if (row->firstByte.has_value() || (row->isRetryable() && !retryObstacleOf(*row, now).has_value())) {
             commands.emplace_back(RelayCancel { head.attempt });
             row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
@@ -588,23 +582,18 @@
     commands.emplace_back(recordProbe(result));
 }
 
-bool RelaySystem::mayRetry(const RelayRow &row, TimePoint now)
-{
-    const bool attemptsExhausted = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
-    const bool mustNotRunAgain = row.mayHaveRun && !row.isRetryable();
-    const bool cannotResume = row.firstByte.has_value() && !row.resumable;
-    return !row.callerGone && !attemptsExhausted && !mustNotRunAgain && !cannotResume
-        && row.deadline - now >= MinTimeForRetry;
-}
-
 void RelaySystem::retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands)
 {
     row.lastFailure = cause;
     commands.emplace_back(recordFailedAttempt(row, now));
     // An attempt that never reached an upstream does not count as a retry.
     const bool neverReached = row.attempts == 0;
-    if (!mayRetry(row, now) || (!neverReached && !budgetOf(row.pool).spend(now))) {
-        giveUp(row, cause, now, commands);
+    std::optional<GiveUpReason> obstacle = retryObstacleOf(row, now);
+    if (!obstacle.has_value() && !neverReached && !budgetOf(row.pool).spend(now)) {
+        obstacle = GiveUpReason::NoRetryBudget;
+    }
+    if (obstacle.has_value()) {
+        giveUp(row, *obstacle, now, commands);
         return;
     }
     place(row, now, commands);
@@ -621,9 +610,11 @@
 
 // Completion.
 
-void RelaySystem::giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands)
+void RelaySystem::giveUp(RelayRow &row, GiveUpReason reason, TimePoint now, RelayCommands &commands)
 {
     const RequestId request = row.request.request;
+    const ResultCode code = resultCodeFor(reason, row.lastFailure, row.mayHaveRun);
+    row.givenUpFor = reason;
     if (row.firstByte.has_value()) {
         finish(row, Outcome::Failed, code, now, commands);
         commands.emplace_back(RelayAbort { request });
@@ -670,7 +661,8 @@
 void RelaySystem::finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands)
 {
     commands.emplace_back(recordFinish(row, outcome, code, now));
-    requestMetrics_.push_back({ row.tier, outcome, code, row.firstByte, now - row.arrivedAt, row.attempts });
+    requestMetrics_.push_back(
+        { row.tier, outcome, code, row.firstByte, now - row.arrivedAt, row.attempts, row.givenUpFor });
     if (outcome == Outcome::Answered && row.streamVersion.has_value()) {
         locator_.streamCompleted(row);
     }
@@ -706,7 +698,7 @@
             continue;
         }
         leaveQueue(*row);
-        giveUp(*row, row->mayHaveRun ? row->lastFailure : ResultCode::Shed, now, commands);
+        giveUp(*row, now >= row->deadline ? GiveUpReason::Deadline : GiveUpReason::WaitTimeout, now, commands);
     }
     locator_.tick(now, commands);
     handleLocatedStreams(now, commands);
@@ -733,14 +725,12 @@
     if (now >= row.deadline) {
         commands.emplace_back(RelayCancel { row.attempt });
         row.mayHaveRun = true;
+        row.lastFailure = ResultCode::UpstreamTimeout;
         endAttempt(row);
-        giveUp(row, ResultCode::UpstreamTimeout, now, commands);
+        giveUp(row, GiveUpReason::Deadline, now, commands);
         return;
     }
-    const bool answering = row.phase == RelayPhase::Answering;
-    const Duration timeout = answering ? row.route->gapTarget.value_or(row.route->target) * StallTimeoutGaps
-                                       : std::max(row.route->target * FirstByteTimeoutTargets, MinFirstByteTimeout);
-    if (now - row.progressAt < timeout || !mayRetry(row, now)) {
+    if (now - row.progressAt < silenceLimitOf(row) || retryObstacleOf(row, now).has_value()) {
         return;
     }
     commands.emplace_back(RelayCancel { row.attempt });
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -157,7 +157,7 @@
     void shareCrashReports(TimePoint now, RelayCommands &commands);
     /** Why the request may not be sent to any upstream; absent if it may. Some time can have passed since it was
      *  admitted, all the more if the process was paused. */
-    std::optional<ResultCode> obstacleOf(const RelayRow &row, TimePoint now) const;
+    std::optional<GiveUpReason> obstacleOf(const RelayRow &row, TimePoint now) const;
     /** Sends the request to an upstream, queues it, or gives it up. */
     void place(RelayRow &row, TimePoint now, RelayCommands &commands);
     bool tryPlace(RelayRow &row, TimePoint now, RelayCommands &commands);
@@ -173,8 +173,7 @@
     /** Tries another upstream if the request may run again and the retry budget allows it; otherwise gives the request
      *  up. */
     void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
-    bool mayRetry(const RelayRow &row, TimePoint now);
-    void giveUp(RelayRow &row, ResultCode code, TimePoint now, RelayCommands &commands);
+    void giveUp(RelayRow &row, GiveUpReason reason, TimePoint now, RelayCommands &commands);
     /** Time after which the caller of a refused request should come back. */
     Duration retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
--- /dev/null
+++ b/servers/relay/retry_rules.cpp
@@ -0,0 +1,48 @@
+#include "servers/relay/retry_rules.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace GeraniumLever {
+
+namespace {
+
+/** Failed connection attempts, none of which reached an upstream, after which a request is given up. */
+constexpr std::uint32_t MaxFailedConnects = 3;
+/** A retry is worth its cost only if at least this much time is left. */
+constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
+/** Latency targets without the first part of the response. */
+constexpr int FirstByteTimeoutTargets = 2;
+constexpr Duration MinFirstByteTimeout = std::chrono::milliseconds(500);
+/** Gap targets between two parts of the response. */
+constexpr int StallTimeoutGaps = 4;
+
+} // namespace
+
+std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now)
+{
+    const bool attemptsExhausted = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
+    const std::pair<bool, GiveUpReason> obstacles[] = {
+        { row.callerGone, GiveUpReason::CallerGone },
+        { row.mayHaveRun && !row.isRetryable(), GiveUpReason::RunsOnce },
+        { row.firstByte.has_value() && !row.resumable, GiveUpReason::CannotResume },
+        { attemptsExhausted, GiveUpReason::NoAttemptsLeft },
+        { row.deadline - now < MinTimeForRetry, GiveUpReason::NoTimeForRetry },
+    };
+    for (const auto &[applies, reason] : obstacles) {
+        if (applies) {
+            return reason;
+        }
+    }
+    return std::nullopt;
+}
+
+Duration silenceLimitOf(const RelayRow &row)
+{
+    if (row.phase == RelayPhase::Answering) {
+        return row.route->gapTarget.value_or(row.route->target) * StallTimeoutGaps;
+    }
+    return std::max<Duration>(row.route->target * FirstByteTimeoutTargets, MinFirstByteTimeout);
+}
+
+} // namespace GeraniumLever
--- a/tests/servers/relay/relay_fixture.cpp
+++ b/tests/servers/relay/relay_fixture.cpp
@@ -206,4 +206,15 @@
     return std::count(found.begin(), found.end(), RelayCancel { attempt }) > 0;
 }
 
+std::map<std::string, std::string> RelayFixture::lastDecision(const std::string &kind) const
+{
+    const std::vector<Decision> decisions = commandsOf<Decision>(commands_);
+    const auto found = std::find_if(
+        decisions.rbegin(), decisions.rend(), [&kind](const Decision &decision) { return decision.kind == kind; });
+    if (found == decisions.rend()) {
+        return {};
+    }
+    return { found->fields.begin(), found->fields.end() };
+}
+
 } // namespace GeraniumLever
--- a/tests/servers/relay/relay_fixture.h
+++ b/tests/servers/relay/relay_fixture.h
@@ -1,6 +1,8 @@
 /** A relay system with a configuration and upstreams, driven by a manual clock. */
 #pragma once
 
+#include <map>
+
 #include <gtest/gtest.h>
 
 #include "servers/relay/relay.h"
@@ -49,6 +51,8 @@
     bool broken(const RequestId &request) const;
     bool accepted(const RequestId &request) const;
     bool cancelled(const AttemptId &attempt) const;
+    /** Fields of the newest decision of a kind; empty if there is none. */
+    std::map<std::string, std::string> lastDecision(const std::string &kind) const;
 
     SteppedClock clock_;
     RelaySystem system_;
