Give the relay's attempts and retry budgets classes of their own

Change: RelayAttempts knows the request of each attempt and accounts for its load; RetryBudgets holds the budget of each pool. Nothing is decided differently.

--- /dev/null
+++ b/servers/relay/relay_attempts.h
@@ -0,0 +1,35 @@
+/** The attempts at upstreams that are in progress. */
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include "servers/relay/relay_placement.h"
+#include "servers/relay/relay_row.h"
+
+namespace GeraniumLever {
+
+/** Knows the request of each attempt, and accounts for the load that the attempts put on their upstreams. */
+class RelayAttempts
+{
+public:
+    /** origin: of the attempts' identifiers. placement: must outlive the attempts. */
+    RelayAttempts(std::uint64_t origin, RelayPlacement &placement) : origin_(origin), placement_(placement) { }
+
+    /** Gives the row a new attempt. */
+    void start(RelayRow &row, const Placement &placement, TimePoint now);
+
+    /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
+    void end(RelayRow &row);
+
+    /** Absent if the attempt has ended. */
+    std::optional<RequestId> requestOf(const AttemptId &attempt) const;
+
+private:
+    std::uint64_t origin_;
+    RelayPlacement &placement_;
+    std::uint64_t lastSequence_ = 0;
+    std::map<AttemptId, RequestId> requests_;
+};
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -42,6 +42,8 @@
     , locator_(settings_.node, settings_.dataCenter, fleet_)
     , quarantine_(settings_.seed + 3)
     , random_(settings_.seed + 1)
+    , attempts_(settings_.origin, placement_)
+    , budgets_(settings_.retryAllowance)
 {
 }
 
@@ -81,20 +83,13 @@
     }
     workExchange_.updateNodes(fleet_.nodes().nodes());
     locator_.updateNodes(fleet_.nodes().nodes());
-    divideBudgets();
-}
-
-void RelaySystem::divideBudgets()
-{
-    for (auto &[pool, budget] : budgets_) {
-        budget.setNodes(fleet_.nodes().sharingNodes());
-    }
+    budgets_.setNodes(fleet_.nodes().sharingNodes());
 }
 
 void RelaySystem::peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands)
 {
     fleet_.receive(report, now, commands);
-    divideBudgets();
+    budgets_.setNodes(fleet_.nodes().sharingNodes());
 }
 
 std::vector<OutgoingWorkReport> RelaySystem::reportWork(TimePoint now)
@@ -172,7 +167,7 @@
 void RelaySystem::admit(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     row.queueKey = { row.pool, placement_.usesOwnQueue(placementQueryOf(row), now) };
-    budgetOf(row.pool).noteRequest(now);
+    budgets_.of(row.pool).noteRequest(now);
     limits_.requestArrived(row, now);
     place(row, now, commands);
 }
@@ -193,7 +188,7 @@
     } else if (row->hasUpstream()) {
         commands.emplace_back(RelayCancel { row->attempt });
         row->mayHaveRun = true;
-        endAttempt(*row);
+        attempts_.end(*row);
     }
     const QueueKey queueKey = row->queueKey;
     finish(*row, row->mayHaveRun ? Outcome::Failed : Outcome::NotRun, ResultCode::CallerGone, now, commands);
@@ -249,16 +244,7 @@
 {
     const bool resumes = row.phase == RelayPhase::Answering || row.firstByte.has_value();
     row.phase = resumes ? RelayPhase::Answering : RelayPhase::Sent;
-    row.attempt = AttemptId(settings_.origin, ++lastAttemptSequence_);
-    row.upstream = placement.upstream;
-    row.upstreamVersion = placement.version;
-    row.dispatchedAt = now;
-    row.progressAt = now;
-    ++row.attempts;
-    attempts_.emplace(row.attempt, row.request.request);
-    row.unreadTokens = placement.unreadTokens;
-    placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens);
-    placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
+    attempts_.start(row, placement, now);
     quarantine_.noteSent(row.request.prompt, now);
     limits_.requestSent(row, now);
 
@@ -473,7 +459,7 @@
         commands.emplace_back(RelayCancel { head.attempt });
         load.noteFull(now);
         row->failedUpstreams.insert(row->upstream.name);
-        endAttempt(*row);
+        attempts_.end(*row);
         retry(*row, ResultCode::UpstreamFull, now, commands);
         return;
     }
@@ -484,7 +470,7 @@
             commands.emplace_back(RelayCancel { head.attempt });
             row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
-            endAttempt(*row);
+            attempts_.end(*row);
             retry(*row, ResultCode::UpstreamFailed, now, commands);
             return;
         }
@@ -526,7 +512,7 @@
     }
     noteAnswered(*row, now);
     const QueueKey queueKey = row->queueKey;
-    endAttempt(*row);
+    attempts_.end(*row);
     finish(*row, Outcome::Answered, ResultCode::Ok, now, commands);
     serveQueue(queueKey, now, commands);
 }
@@ -560,7 +546,7 @@
     if (failure.kind == RelayFailure::Kind::Broken) {
         quarantine_.noteCrash(row->upstream, row->request.prompt, row->dispatchedAt, now);
     }
-    endAttempt(*row);
+    attempts_.end(*row);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         ++row->failedConnects;
         --row->attempts;
@@ -589,7 +575,7 @@
     // An attempt that never reached an upstream does not count as a retry.
     const bool neverReached = row.attempts == 0;
     std::optional<GiveUpReason> obstacle = retryObstacleOf(row, now);
-    if (!obstacle.has_value() && !neverReached && !budgetOf(row.pool).spend(now)) {
+    if (!obstacle.has_value() && !neverReached && !budgets_.of(row.pool).spend(now)) {
         obstacle = GiveUpReason::NoRetryBudget;
     }
     if (obstacle.has_value()) {
@@ -599,15 +585,6 @@
     place(row, now, commands);
 }
 
-void RelaySystem::endAttempt(RelayRow &row)
-{
-    UpstreamLoad &load = placement_.load(row.upstream.name);
-    load.noteRead(std::exchange(row.unreadTokens, 0));
-    load.end(row.tokens());
-    attempts_.erase(row.attempt);
-    row.attempt = AttemptId();
-}
-
 // Completion.
 
 void RelaySystem::giveUp(RelayRow &row, GiveUpReason reason, TimePoint now, RelayCommands &commands)
@@ -726,7 +703,7 @@
         commands.emplace_back(RelayCancel { row.attempt });
         row.mayHaveRun = true;
         row.lastFailure = ResultCode::UpstreamTimeout;
-        endAttempt(row);
+        attempts_.end(row);
         giveUp(row, GiveUpReason::Deadline, now, commands);
         return;
     }
@@ -737,14 +714,14 @@
     placement_.load(row.upstream.name).noteFailed(now);
     row.failedUpstreams.insert(row.upstream.name);
     row.mayHaveRun = true;
-    endAttempt(row);
+    attempts_.end(row);
     retry(row, ResultCode::UpstreamTimeout, now, commands);
 }
 
 RelayRow *RelaySystem::rowOf(const AttemptId &attempt)
 {
-    const auto found = attempts_.find(attempt);
-    return found == attempts_.end() ? nullptr : rows_.edit(found->second);
+    const std::optional<RequestId> request = attempts_.requestOf(attempt);
+    return request.has_value() ? rows_.edit(*request) : nullptr;
 }
 
 RetryAfterEstimator &RelaySystem::retryAfterEstimatorOf(const RelayRow &row)
@@ -752,22 +729,11 @@
     return retryAfterEstimators_.try_emplace(row.queueKey, random_.engine()()).first->second;
 }
 
-RelayRetryBudget &RelaySystem::budgetOf(const PoolName &pool)
-{
-    const auto [budget, isNew] = budgets_.try_emplace(pool, settings_.retryAllowance);
-    if (isNew) {
-        budget->second.setNodes(fleet_.nodes().sharingNodes());
-    }
-    return budget->second;
-}
-
 void RelaySystem::setLimits(const RetryAllowance &retries, const StalenessLimits &staleness)
 {
     settings_.retryAllowance = retries;
     settings_.stalenessLimits = staleness;
-    for (auto &[pool, budget] : budgets_) {
-        budget.setAllowance(retries);
-    }
+    budgets_.setAllowance(retries);
 }
 
 std::vector<RelayRequestMetrics> RelaySystem::takeRequestMetrics()
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -9,10 +9,11 @@
 #include "servers/relay/limit_system.h"
 #include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_admission.h"
+#include "servers/relay/relay_attempts.h"
 #include "servers/relay/relay_placement.h"
 #include "servers/relay/relay_queue.h"
-#include "servers/relay/relay_retry_budget.h"
 #include "servers/relay/retry_after_estimator.h"
+#include "servers/relay/retry_budgets.h"
 #include "servers/relay/stream_locator.h"
 #include "servers/relay/unconfirmed_answers.h"
 #include "servers/relay/work_exchange.h"
@@ -141,8 +142,6 @@
 
 private:
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
-    /** Divides the retry budgets among the known nodes. */
-    void divideBudgets();
     RelayRow *rowOf(const AttemptId &attempt);
     /** Finds out which version began the stream that the request takes up. */
     void locateStream(RelayRow &row, TimePoint now, RelayCommands &commands);
@@ -168,8 +167,6 @@
     /** Removes the request from its queue. */
     void leaveQueue(RelayRow &row);
     void serveQueue(const QueueKey &queueKey, TimePoint now, RelayCommands &commands);
-    /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
-    void endAttempt(RelayRow &row);
     /** Tries another upstream if the request may run again and the retry budget allows it; otherwise gives the request
      *  up. */
     void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
@@ -179,7 +176,6 @@
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
-    RelayRetryBudget &budgetOf(const PoolName &pool);
 
     RelaySystemSettings settings_;
     FleetState fleet_;
@@ -192,11 +188,10 @@
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
     Table<RequestId, RelayRow> rows_;
-    std::map<AttemptId, RequestId> attempts_;
+    RelayAttempts attempts_;
     std::map<QueueKey, RelayQueue> queues_;
-    std::map<PoolName, RelayRetryBudget> budgets_;
+    RetryBudgets budgets_;
     std::vector<RelayRequestMetrics> requestMetrics_;
-    std::uint64_t lastAttemptSequence_ = 0;
     bool draining_ = false;
 };
 
