Keep a silent attempt until another upstream can take the request over

Cause: after four gap targets without an event (two targets without a first byte) the relay ended the attempt first and only then looked whether it may and can send the request elsewhere. Without a retry budget, an upstream or room, nothing was left to go back to, and the request was given up. One silent upstream in nine is within the budget; a silent pool exhausts it at once, and the more nodes share the budget, the sooner. The class of fault: an irreversible step on a suspicion, before what is to replace it is certain.

Change: a silent attempt is ended only in the step that sends the request to another upstream: one that has room, has not failed recently and has not been silent for half of that time itself, and only if the budget pays for it. Until then it goes on, and another upstream is looked for every 100 ms. An upstream that goes on after it was suspected is no longer suspected.

--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -11,10 +11,11 @@
     row.upstreamVersion = placement.version;
     row.dispatchedAt = now;
     row.progressAt = now;
+    row.nextTakeoverAt.reset();
     row.unreadTokens = placement.unreadTokens;
     ++row.attempts;
     requests_.emplace(row.attempt, row.request.request);
-    placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens);
+    placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens, now);
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
 }
 
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -159,6 +159,10 @@
         if (upstreamLoad != nullptr) {
             candidate.isSuspect = upstreamLoad->isSuspect(now) || upstreamLoad->isFull(now);
         }
+        if (query.maxSilence.has_value() && upstreamLoad != nullptr
+            && (candidate.isSuspect || upstreamLoad->silence(now) > *query.maxSilence)) {
+            continue;
+        }
         candidate.cost = candidate.load;
         if (upstreamLoad != nullptr) {
             candidate.cost += upstreamLoad->failureShare() * FailurePenalty;
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -221,6 +221,15 @@
     return decision;
 }
 
+Decision recordSilence(const RelayRow &row, TimePoint now)
+{
+    Decision decision = requestDecision("silence", row);
+    decision.fields.emplace_back("upstream", row.upstream.name.text());
+    decision.fields.emplace_back("attempt", std::to_string(row.attempts));
+    decision.fields.emplace_back("silent_ms", milliseconds(now - row.progressAt));
+    return decision;
+}
+
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now)
 {
     Decision decision = requestDecision("attempt_failed", row);
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -48,6 +48,9 @@
 /** ahead: requests that are served before it. utilization: estimated share of the pool's seats in use. */
 Decision recordWait(const RelayRow &row, std::size_t ahead, double utilization);
 
+/** The upstream of the row's attempt has been silent for longer than expected; the attempt goes on. */
+Decision recordSilence(const RelayRow &row, TimePoint now);
+
 /** The row's last attempt failed for the reason in lastFailure. */
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now);
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -65,6 +65,8 @@
     std::uint32_t unreadTokens = 0;
     /** When the last part of the response arrived. */
     TimePoint progressAt;
+    /** When to look for another upstream again; absent unless the upstream is silent for longer than expected. */
+    std::optional<TimePoint> nextTakeoverAt;
     std::optional<Duration> firstByte;
     /** Longest time between two parts of the response. */
     Duration longestGap { 0 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -24,6 +24,8 @@
 /** Number of waiting requests that are tried per pass, so that one that waits for certain engines does not block those
  *  behind it. */
 constexpr std::size_t MaxPlacementAttempts = 6;
+/** Interval at which another upstream is looked for while one is silent. */
+constexpr Duration TakeoverPeriod = std::chrono::milliseconds(100);
 /** Another node accepts the request immediately; the delay only keeps callers from returning at the same moment. */
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(100);
 /** Another node may know the origin, or this one once it reaches the others again. */
@@ -480,6 +482,7 @@
     load.noteRead(std::exchange(row->unreadTokens, 0));
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
+    row->nextTakeoverAt.reset();
     row->resumable = head.resumable;
     if (head.resumable && !row->firstByte.has_value()) {
         row->streamVersion = row->upstreamVersion;
@@ -498,9 +501,14 @@
 {
     RelayRow *row = rowOf(progress.attempt);
     if (row != nullptr) {
-        placement_.load(row->upstream.name).noteTokenGap(now - row->progressAt, now);
+        UpstreamLoad &load = placement_.load(row->upstream.name);
+        load.noteTokenGap(now - row->progressAt, now);
         row->longestGap = std::max(row->longestGap, now - row->progressAt);
         row->progressAt = now;
+        if (row->nextTakeoverAt.has_value()) {
+            row->nextTakeoverAt.reset();
+            load.noteAnswered(now);
+        }
     }
 }
 
@@ -710,12 +718,36 @@
     if (now - row.progressAt < silenceLimitOf(row) || retryObstacleOf(row, now).has_value()) {
         return;
     }
+    if (!row.nextTakeoverAt.has_value()) {
+        placement_.load(row.upstream.name).noteFailed(now);
+        commands.emplace_back(recordSilence(row, now));
+    }
+    if (now >= row.nextTakeoverAt.value_or(now)) {
+        row.nextTakeoverAt = now + TakeoverPeriod;
+        takeOver(row, now, commands);
+    }
+}
+
+void RelaySystem::takeOver(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    PlacementQuery query = placementQueryOf(row);
+    query.excluded.insert(row.upstream.name);
+    query.maxSilence = silenceLimitOf(row) / 2;
+    RelayRetryBudget &budget = budgets_.of(row.pool);
+    if (obstacleOf(row, now).has_value() || budget.available(now) < 1.0 || !limits_.admits(row, query, now)) {
+        return;
+    }
+    const std::optional<Placement> placement = placement_.choose(fleet_.directory(), query, now);
+    if (!placement.has_value() || !budget.spend(now)) {
+        return;
+    }
     commands.emplace_back(RelayCancel { row.attempt });
-    placement_.load(row.upstream.name).noteFailed(now);
     row.failedUpstreams.insert(row.upstream.name);
     row.mayHaveRun = true;
+    row.lastFailure = ResultCode::UpstreamTimeout;
     attempts_.end(row);
-    retry(row, ResultCode::UpstreamTimeout, now, commands);
+    commands.emplace_back(recordFailedAttempt(row, now));
+    dispatch(row, *placement, now, commands);
 }
 
 RelayRow *RelaySystem::rowOf(const AttemptId &attempt)
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -175,6 +175,9 @@
     Duration retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Sends the request of a silent attempt to another upstream if it can begin there now. Otherwise the attempt goes
+     *  on. */
+    void takeOver(RelayRow &row, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
 
     RelaySystemSettings settings_;
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -29,8 +29,9 @@
 
 } // namespace
 
-void UpstreamLoad::begin(std::uint32_t tokens, std::uint32_t unreadTokens)
+void UpstreamLoad::begin(std::uint32_t tokens, std::uint32_t unreadTokens, TimePoint now)
 {
+    lastSignAt_ = ownRequests_ == 0 ? now : lastSignAt_;
     ++ownRequests_;
     availableSeats_ -= 1.0;
     ownTokens_ += tokens;
@@ -54,6 +55,7 @@
     const double reported = static_cast<double>(load.running) + static_cast<double>(load.waiting);
     reportedOthers_ = std::max(0.0, reported - static_cast<double>(ownRequests_));
     reportedAt_ = now;
+    lastSignAt_ = now;
 }
 
 void UpstreamLoad::updateOthers(const UpstreamWork &work, double freeSeats, double draw, TimePoint now)
@@ -91,8 +93,9 @@
     return work;
 }
 
-void UpstreamLoad::noteAnswered(TimePoint)
+void UpstreamLoad::noteAnswered(TimePoint now)
 {
+    lastSignAt_ = now;
     failureShare_ *= 1.0 - FailureWeight;
     consecutiveFailures_ = 0;
     unreachable_ = false;
@@ -158,6 +161,7 @@
 
 void UpstreamLoad::noteTokenGap(Duration gap, TimePoint now)
 {
+    lastSignAt_ = now;
     const double seconds = std::chrono::duration<double>(gap).count();
     tokenGapSeconds_ += (seconds - tokenGapSeconds_) * TokenGapWeight;
     lastTokenGapAt_ = now;
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -15,7 +15,7 @@
 {
 public:
     /** A request was sent. tokens: prompt plus maximum answer. unreadTokens: prompt tokens to prefill. */
-    void begin(std::uint32_t tokens, std::uint32_t unreadTokens);
+    void begin(std::uint32_t tokens, std::uint32_t unreadTokens, TimePoint now);
 
     /** This many prompt tokens of a request have been prefilled, or will not be. */
     void noteRead(std::uint32_t unreadTokens);
@@ -75,6 +75,9 @@
 
     std::uint32_t ownRequests() const { return ownRequests_; }
 
+    /** Time for which none of this node's requests there has received anything; 0 if it has none there. */
+    Duration silence(TimePoint now) const { return ownRequests_ == 0 ? Duration(0) : now - lastSignAt_; }
+
     /** True while the upstream is excluded because of recent failures. */
     bool isSuspect(TimePoint now) const { return unreachable_ || now < suspectUntil_; }
 
@@ -92,6 +95,8 @@
     bool hasOthersWork(TimePoint now) const;
 
     std::uint32_t ownRequests_ = 0;
+    /** When anything last arrived, or the first of the requests was sent. */
+    TimePoint lastSignAt_;
     std::uint64_t ownTokens_ = 0;
     std::uint64_t ownUnreadTokens_ = 0;
     std::uint32_t ownWaiting_ = 0;
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -31,15 +31,35 @@
         return requests;
     }
 
+    /** Streams that have begun, by their upstream. */
+    std::map<UpstreamName, std::vector<RequestId>> beginStreams(int count)
+    {
+        std::map<UpstreamName, std::vector<RequestId>> streams;
+        for (const RequestId &stream : arriveMany("/live/1", count)) {
+            answer(stream);
+            streams[dispatches(stream).front().upstream].push_back(stream);
+        }
+        return streams;
+    }
+
+    /** Nothing arrives from any upstream but for the streams that go on. */
+    void pass(Duration duration, const std::vector<RequestId> &goingOn)
+    {
+        for (Duration passed(0); passed < duration; passed += TickPeriod) {
+            advance(TickPeriod);
+            for (const RequestId &stream : goingOn) {
+                system_.progressed({ dispatches(stream).back().attempt }, clock_.now());
+            }
+            tick();
+        }
+    }
+
     /** Nothing arrives from any upstream. A new configuration is read at the start. */
     void passInSilence(Duration silence)
     {
         configuration_.version = ConfigurationVersion(configuration_.version.value() + 1);
         readStore();
-        for (Duration passed(0); passed < silence; passed += TickPeriod) {
-            advance(TickPeriod);
-            tick();
-        }
+        pass(silence, {});
     }
 
     /** Each upstream answers what was sent to it last. */
@@ -92,5 +112,50 @@
     EXPECT_EQ(system_.inFlight(), 0U);
 }
 
+TEST_F(SilentUpstreamTest, StreamsOfASilentUpstreamMoveOnlyToUpstreamsThatRespond)
+{
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(90);
+    ASSERT_EQ(streams.size(), 9U);
+    const std::set<UpstreamName> silent = { UpstreamName("e1"), UpstreamName("e2") };
+    std::vector<RequestId> goingOn;
+    for (const auto &[upstream, requests] : streams) {
+        if (silent.count(upstream) == 0) {
+            goingOn.insert(goingOn.end(), requests.begin(), requests.end());
+        }
+    }
+    pass(milliseconds(1200), goingOn);
+    int moved = 0;
+    for (const UpstreamName &upstream : silent) {
+        for (const RequestId &stream : streams.at(upstream)) {
+            EXPECT_FALSE(broken(stream));
+            moved += dispatches(stream).size() == 2 ? 1 : 0;
+            EXPECT_TRUE(dispatches(stream).size() == 1 || silent.count(dispatches(stream).back().upstream) == 0);
+        }
+    }
+    EXPECT_GE(moved, 10);
+    EXPECT_EQ(countBroken(goingOn), 0);
+}
+
+TEST_F(SilentUpstreamTest, SilentStreamKeepsItsUpstreamUntilAnotherHasRoom)
+{
+    upstreams_ = { upstreamOf("e1", "engines", 1), upstreamOf("e2", "engines", 1) };
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    std::vector<RequestId> goingOn = streams.at(UpstreamName("e2"));
+    const std::vector<RequestId> &silent = streams.at(UpstreamName("e1"));
+    ASSERT_EQ(goingOn.size(), 2U);
+    pass(milliseconds(2500), goingOn);
+    EXPECT_EQ(countBroken(silent), 0);
+    for (const RequestId &stream : silent) {
+        EXPECT_FALSE(cancelled(dispatches(stream).front().attempt));
+    }
+    end(goingOn.back());
+    goingOn.pop_back();
+    pass(milliseconds(200), goingOn);
+    EXPECT_EQ(dispatches(silent.front()).size() + dispatches(silent.back()).size(), 3U);
+    EXPECT_EQ(countBroken(silent), 0);
+}
+
 } // namespace
 } // namespace GeraniumLever
