Let a silent attempt go on until its replacement has begun

A stream whose upstream is silent moves to another one that turns it away, breaks or cannot be reached, and is cut, although the first upstream goes on a moment later.

Cause: that the other upstream seems to have room is known from load information which is always slightly stale; it is certain only when the upstream answers. The silent attempt was ended when the other one was sent.

Change: the silent attempt stays on standby beside its replacement until the first sign of one of the two, for 250 ms at most; more would be spent on work that is done twice. If the replacement fails, or the silent upstream goes on first, the request goes back to it and the replacement is cancelled. The log says decision=revival.

--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -174,8 +174,14 @@
         if (!lastEventId.empty()) {
             found->second.lastEventId = lastEventId;
         }
-        system.progressed({ attempt }, clock.now());
-        callerServer.append(request->second, bytes);
+        const RequestId id = request->second;
+        found->second.attempt = attempt;
+        RelayCommands news;
+        system.progressed({ attempt }, clock.now(), news);
+        if (!news.empty()) {
+            perform([&](RelayCommands &commands) { commands = std::move(news); });
+        }
+        callerServer.append(id, bytes);
     }
 
     void exchangeEnded(const AttemptId &attempt) override
--- a/servers/relay/give_up_reason.cpp
+++ b/servers/relay/give_up_reason.cpp
@@ -55,4 +55,16 @@
     return mayHaveRun && traits.yieldsToFailure ? lastFailure : traits.code.value_or(lastFailure);
 }
 
+const char *refusalMessageFor(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::PromptQuarantined:
+        return "upstreams crash under this request";
+    case ResultCode::ConfigurationOutdated:
+        return "the configuration is too old to validate keys";
+    default:
+        return "no upstream has free capacity";
+    }
+}
+
 } // namespace GeraniumLever
--- a/servers/relay/give_up_reason.h
+++ b/servers/relay/give_up_reason.h
@@ -38,4 +38,7 @@
  *  run. */
 ResultCode resultCodeFor(GiveUpReason reason, ResultCode lastFailure, bool mayHaveRun);
 
+/** What a caller whose request has not run is told about the code. */
+const char *refusalMessageFor(ResultCode code);
+
 } // namespace GeraniumLever
--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -1,7 +1,10 @@
 #include "servers/relay/relay_attempts.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "servers/relay/relay_records.h"
+
 namespace GeraniumLever {
 
 void RelayAttempts::start(RelayRow &row, const Placement &placement, TimePoint now)
@@ -19,6 +22,17 @@
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
 }
 
+void RelayAttempts::noteProgress(RelayRow &row, TimePoint now)
+{
+    UpstreamLoad &load = placement_.load(row.upstream.name);
+    load.noteTokenGap(now - row.progressAt, now);
+    row.longestGap = std::max(row.longestGap, now - row.progressAt);
+    row.progressAt = now;
+    if (std::exchange(row.nextTakeoverAt, std::nullopt).has_value()) {
+        load.noteAnswered(now);
+    }
+}
+
 void RelayAttempts::end(RelayRow &row)
 {
     UpstreamLoad &load = placement_.load(row.upstream.name);
@@ -28,6 +42,57 @@
     row.attempt = AttemptId();
 }
 
+void RelayAttempts::cancel(RelayRow &row, RelayCommands &commands)
+{
+    commands.emplace_back(RelayCancel { row.attempt });
+    end(row);
+}
+
+void RelayAttempts::putOnStandby(RelayRow &row, TimePoint endsAt)
+{
+    row.standby = StandbyAttempt { std::exchange(row.attempt, AttemptId()),
+                                   row.upstream,
+                                   row.upstreamVersion,
+                                   row.phase,
+                                   row.dispatchedAt,
+                                   row.progressAt,
+                                   std::exchange(row.unreadTokens, 0),
+                                   endsAt };
+}
+
+void RelayAttempts::revive(RelayRow &row, TimePoint now, RelayCommands &commands)
+{
+    if (row.attempt != AttemptId()) {
+        cancel(row, commands);
+    }
+    const StandbyAttempt standby = *std::exchange(row.standby, std::nullopt);
+    row.attempt = standby.attempt;
+    row.upstream = standby.upstream;
+    row.upstreamVersion = standby.upstreamVersion;
+    row.phase = standby.phase;
+    row.dispatchedAt = standby.dispatchedAt;
+    row.progressAt = standby.progressAt;
+    row.unreadTokens = standby.unreadTokens;
+    commands.emplace_back(recordRevival(row, now));
+}
+
+void RelayAttempts::endStandby(RelayRow &row)
+{
+    const StandbyAttempt standby = *std::exchange(row.standby, std::nullopt);
+    UpstreamLoad &load = placement_.load(standby.upstream.name);
+    load.noteRead(standby.unreadTokens);
+    load.end(row.tokens());
+    requests_.erase(standby.attempt);
+}
+
+void RelayAttempts::cancelStandby(RelayRow &row, RelayCommands &commands)
+{
+    if (row.standby.has_value()) {
+        commands.emplace_back(RelayCancel { row.standby->attempt });
+        endStandby(row);
+    }
+}
+
 std::optional<RequestId> RelayAttempts::requestOf(const AttemptId &attempt) const
 {
     const auto found = requests_.find(attempt);
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -19,9 +19,27 @@
     /** Gives the row a new attempt. */
     void start(RelayRow &row, const Placement &placement, TimePoint now);
 
+    /** Another part of the response has arrived. */
+    void noteProgress(RelayRow &row, TimePoint now);
+
     /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
     void end(RelayRow &row);
 
+    /** Ends the attempt, and cancels it at its upstream. */
+    void cancel(RelayRow &row, RelayCommands &commands);
+
+    /** Keeps the row's attempt beside the one that starts next. endsAt: when it ends at the latest. */
+    static void putOnStandby(RelayRow &row, TimePoint endsAt);
+
+    /** Makes the attempt on standby the row's only one, and cancels the other if there is one. */
+    void revive(RelayRow &row, TimePoint now, RelayCommands &commands);
+
+    /** Releases the load of the attempt on standby; the row has none afterwards. */
+    void endStandby(RelayRow &row);
+
+    /** Ends the attempt on standby if there is one, and cancels it at its upstream. */
+    void cancelStandby(RelayRow &row, RelayCommands &commands);
+
     /** Absent if the attempt has ended. */
     std::optional<RequestId> requestOf(const AttemptId &attempt) const;
 
--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -62,6 +62,15 @@
     decision.fields.emplace_back("reused_connection", row.connectionReused ? "true" : "false");
 }
 
+Decision silenceDecision(const char *kind, const RelayRow &row, TimePoint now)
+{
+    Decision decision = requestDecision(kind, row);
+    decision.fields.emplace_back("upstream", row.upstream.name.text());
+    decision.fields.emplace_back("attempt", std::to_string(row.attempts));
+    decision.fields.emplace_back("silent_ms", milliseconds(now - row.progressAt));
+    return decision;
+}
+
 } // namespace
 
 Decision recordConfiguration(const StoredConfiguration &stored, ConfigurationVersion before)
@@ -223,11 +232,12 @@
 
 Decision recordSilence(const RelayRow &row, TimePoint now)
 {
-    Decision decision = requestDecision("silence", row);
-    decision.fields.emplace_back("upstream", row.upstream.name.text());
-    decision.fields.emplace_back("attempt", std::to_string(row.attempts));
-    decision.fields.emplace_back("silent_ms", milliseconds(now - row.progressAt));
-    return decision;
+    return silenceDecision("silence", row, now);
+}
+
+Decision recordRevival(const RelayRow &row, TimePoint now)
+{
+    return silenceDecision("revival", row, now);
 }
 
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now)
--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -51,6 +51,9 @@
 /** The upstream of the row's attempt has been silent for longer than expected; the attempt goes on. */
 Decision recordSilence(const RelayRow &row, TimePoint now);
 
+/** The silent attempt goes on as the row's only one, since it has received something or its replacement failed. */
+Decision recordRevival(const RelayRow &row, TimePoint now);
+
 /** The row's last attempt failed for the reason in lastFailure. */
 Decision recordFailedAttempt(const RelayRow &row, TimePoint now);
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -31,6 +31,22 @@
     Answering,
 };
 
+/** A silent attempt that goes on for a short time beside the one that is to replace it. */
+struct StandbyAttempt
+{
+    AttemptId attempt;
+    UpstreamIdentity upstream;
+    std::string upstreamVersion;
+    RelayPhase phase = RelayPhase::Sent;
+    TimePoint dispatchedAt;
+    TimePoint progressAt;
+    std::uint32_t unreadTokens = 0;
+    /** When it ends even if its replacement has not begun. */
+    TimePoint endsAt;
+
+    auto operator<=>(const StandbyAttempt &) const = default;
+};
+
 /** State of one relayed request. */
 struct RelayRow
 {
@@ -65,6 +81,8 @@
     std::uint32_t unreadTokens = 0;
     /** When the last part of the response arrived. */
     TimePoint progressAt;
+    /** The attempt before, as long as the current one may still turn out to be impossible. */
+    std::optional<StandbyAttempt> standby;
     /** When to look for another upstream again; absent unless the upstream is silent for longer than expected. */
     std::optional<TimePoint> nextTakeoverAt;
     std::optional<Duration> firstByte;
@@ -95,6 +113,8 @@
     /** True if the request may be sent again even though an attempt may have run. */
     bool isRetryable() const { return route->isIdempotent || route->resumable; }
 
+    bool isOnStandby(const AttemptId &other) const { return standby.has_value() && standby->attempt == other; }
+
     bool hasUpstream() const { return phase == RelayPhase::Sent || phase == RelayPhase::Answering; }
 
     /** True if the request takes up a stream that an earlier request of the caller began. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -24,8 +24,6 @@
 /** Number of waiting requests that are tried per pass, so that one that waits for certain engines does not block those
  *  behind it. */
 constexpr std::size_t MaxPlacementAttempts = 6;
-/** Interval at which another upstream is looked for while one is silent. */
-constexpr Duration TakeoverPeriod = std::chrono::milliseconds(100);
 /** Another node accepts the request immediately; the delay only keeps callers from returning at the same moment. */
 constexpr Duration DrainingRetryAfter = std::chrono::milliseconds(100);
 /** Another node may know the origin, or this one once it reaches the others again. */
@@ -188,9 +186,8 @@
     if (row->phase == RelayPhase::Waiting) {
         leaveQueue(*row);
     } else if (row->hasUpstream()) {
-        commands.emplace_back(RelayCancel { row->attempt });
         row->mayHaveRun = true;
-        attempts_.end(*row);
+        attempts_.cancel(*row, commands);
     }
     const QueueKey queueKey = row->queueKey;
     finish(*row, row->mayHaveRun ? Outcome::Failed : Outcome::NotRun, ResultCode::CallerGone, now, commands);
@@ -435,7 +432,7 @@
 
 void RelaySystem::noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands)
 {
-    const RelayRow *row = rowOf(notice.attempt);
+    const RelayRow *row = respondingRow(notice.attempt, now, commands);
     if (row == nullptr) {
         return;
     }
@@ -448,7 +445,7 @@
 
 void RelaySystem::headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands)
 {
-    RelayRow *row = rowOf(head.attempt);
+    RelayRow *row = respondingRow(head.attempt, now, commands);
     if (row == nullptr) {
         return;
     }
@@ -458,10 +455,9 @@
         load.updateReported(*head.load, now);
     }
     if (head.notRun) {
-        commands.emplace_back(RelayCancel { head.attempt });
         load.noteFull(now);
         row->failedUpstreams.insert(row->upstream.name);
-        attempts_.end(*row);
+        attempts_.cancel(*row, commands);
         retry(*row, ResultCode::UpstreamFull, now, commands);
         return;
     }
@@ -469,10 +465,9 @@
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
         if (row->firstByte.has_value() || (row->isRetryable() && !retryObstacleOf(*row, now).has_value())) {
-            commands.emplace_back(RelayCancel { head.attempt });
             row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
-            attempts_.end(*row);
+            attempts_.cancel(*row, commands);
             retry(*row, ResultCode::UpstreamFailed, now, commands);
             return;
         }
@@ -480,6 +475,7 @@
         load.noteAnswered(now);
     }
     load.noteRead(std::exchange(row->unreadTokens, 0));
+    attempts_.cancelStandby(*row, commands);
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
     row->nextTakeoverAt.reset();
@@ -497,24 +493,17 @@
     commands.emplace_back(RelayForward { head.attempt });
 }
 
-void RelaySystem::progressed(const RelayProgress &progress, TimePoint now)
+void RelaySystem::progressed(const RelayProgress &progress, TimePoint now, RelayCommands &commands)
 {
-    RelayRow *row = rowOf(progress.attempt);
+    RelayRow *row = respondingRow(progress.attempt, now, commands);
     if (row != nullptr) {
-        UpstreamLoad &load = placement_.load(row->upstream.name);
-        load.noteTokenGap(now - row->progressAt, now);
-        row->longestGap = std::max(row->longestGap, now - row->progressAt);
-        row->progressAt = now;
-        if (row->nextTakeoverAt.has_value()) {
-            row->nextTakeoverAt.reset();
-            load.noteAnswered(now);
-        }
+        attempts_.noteProgress(*row, now);
     }
 }
 
 void RelaySystem::ended(const RelayCompleted &end, TimePoint now, RelayCommands &commands)
 {
-    RelayRow *row = rowOf(end.attempt);
+    RelayRow *row = respondingRow(end.attempt, now, commands);
     if (row == nullptr) {
         return;
     }
@@ -544,16 +533,12 @@
         return;
     }
     const QueueKey queueKey = row->queueKey;
-    if (failure.kind == RelayFailure::Kind::NotConnected) {
-        placement_.load(row->upstream.name).noteUnreachable(now);
-    } else {
-        placement_.load(row->upstream.name).noteFailed(now);
+    noteFailure(*row, failure, now);
+    if (row->isOnStandby(failure.attempt)) {
+        attempts_.endStandby(*row);
+        return;
     }
     row->failedUpstreams.insert(row->upstream.name);
-    unconfirmedAnswers_.discard(row->upstream);
-    if (failure.kind == RelayFailure::Kind::Broken) {
-        quarantine_.noteCrash(row->upstream, row->request.prompt, row->dispatchedAt, now);
-    }
     attempts_.end(*row);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         ++row->failedConnects;
@@ -567,6 +552,22 @@
     serveQueue(queueKey, now, commands);
 }
 
+void RelaySystem::noteFailure(const RelayRow &row, const RelayFailure &failure, TimePoint now)
+{
+    const bool isStandby = row.isOnStandby(failure.attempt);
+    const UpstreamIdentity &upstream = isStandby ? row.standby->upstream : row.upstream;
+    if (failure.kind == RelayFailure::Kind::NotConnected) {
+        placement_.load(upstream.name).noteUnreachable(now);
+    } else {
+        placement_.load(upstream.name).noteFailed(now);
+    }
+    unconfirmedAnswers_.discard(upstream);
+    if (failure.kind == RelayFailure::Kind::Broken) {
+        const TimePoint sentAt = isStandby ? row.standby->dispatchedAt : row.dispatchedAt;
+        quarantine_.noteCrash(upstream, row.request.prompt, sentAt, now);
+    }
+}
+
 void RelaySystem::probed(const RelayProbeResult &result, TimePoint now, RelayCommands &commands)
 {
     placement_.load(result.upstream).noteProbed(result.reached, now);
@@ -580,6 +581,10 @@
 {
     row.lastFailure = cause;
     commands.emplace_back(recordFailedAttempt(row, now));
+    if (row.standby.has_value()) {
+        attempts_.revive(row, now, commands);
+        return;
+    }
     // An attempt that never reached an upstream does not count as a retry.
     const bool neverReached = row.attempts == 0;
     std::optional<GiveUpReason> obstacle = retryObstacleOf(row, now);
@@ -615,15 +620,11 @@
             RelayRefusal { request, { final, "the upstream did not answer", std::nullopt }, outcome });
         return;
     }
-    const bool isQuarantined = code == ResultCode::PromptQuarantined;
-    const char *message = isQuarantined             ? "upstreams crash under this request"
-        : code == ResultCode::ConfigurationOutdated ? "the configuration is too old to validate keys"
-                                                    : "no upstream has free capacity";
-    const Duration retryAfter =
-        isQuarantined ? quarantine_.blockedFor(row.request.prompt, now) : retryAfterOf(row, code, now);
+    const Duration retryAfter = code == ResultCode::PromptQuarantined ? quarantine_.blockedFor(row.request.prompt, now)
+                                                                      : retryAfterOf(row, code, now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
-    commands.emplace_back(RelayRefusal { request, { final, message, retryAfter }, Outcome::NotRun });
+    commands.emplace_back(RelayRefusal { request, { final, refusalMessageFor(code), retryAfter }, Outcome::NotRun });
 }
 
 Duration RelaySystem::retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now)
@@ -645,6 +646,7 @@
 
 void RelaySystem::finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands)
 {
+    attempts_.cancelStandby(row, commands);
     commands.emplace_back(recordFinish(row, outcome, code, now));
     requestMetrics_.push_back(
         { row.tier, outcome, code, row.firstByte, now - row.arrivedAt, row.attempts, row.givenUpFor });
@@ -662,10 +664,7 @@
     handleDirectoryChanges(fleet_.expire(now), commands);
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
-        const bool expired = now >= row.deadline;
-        const bool waitExpired = !row.hasUpstream() && now >= row.waitUntil;
-        const bool running = row.hasUpstream() && row.isRetryable();
-        if (expired || waitExpired || running) {
+        if (mayBeDue(row, now)) {
             due.push_back(request);
         }
     }
@@ -708,13 +707,15 @@
 void RelaySystem::checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     if (now >= row.deadline) {
-        commands.emplace_back(RelayCancel { row.attempt });
         row.mayHaveRun = true;
         row.lastFailure = ResultCode::UpstreamTimeout;
-        attempts_.end(row);
+        attempts_.cancel(row, commands);
         giveUp(row, GiveUpReason::Deadline, now, commands);
         return;
     }
+    if (row.standby.has_value() && now >= row.standby->endsAt) {
+        attempts_.cancelStandby(row, commands);
+    }
     if (now - row.progressAt < silenceLimitOf(row) || retryObstacleOf(row, now).has_value()) {
         return;
     }
@@ -741,12 +742,12 @@
     if (!placement.has_value() || !budget.spend(now)) {
         return;
     }
-    commands.emplace_back(RelayCancel { row.attempt });
     row.failedUpstreams.insert(row.upstream.name);
     row.mayHaveRun = true;
     row.lastFailure = ResultCode::UpstreamTimeout;
-    attempts_.end(row);
     commands.emplace_back(recordFailedAttempt(row, now));
+    attempts_.cancelStandby(row, commands);
+    RelayAttempts::putOnStandby(row, now + StandbyTime);
     dispatch(row, *placement, now, commands);
 }
 
@@ -756,6 +757,15 @@
     return request.has_value() ? rows_.edit(*request) : nullptr;
 }
 
+RelayRow *RelaySystem::respondingRow(const AttemptId &attempt, TimePoint now, RelayCommands &commands)
+{
+    RelayRow *row = rowOf(attempt);
+    if (row != nullptr && row->isOnStandby(attempt)) {
+        attempts_.revive(*row, now, commands);
+    }
+    return row;
+}
+
 RetryAfterEstimator &RelaySystem::retryAfterEstimatorOf(const RelayRow &row)
 {
     return retryAfterEstimators_.try_emplace(row.queueKey, random_.engine()()).first->second;
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -117,7 +117,7 @@
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
     void noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands);
-    void progressed(const RelayProgress &progress, TimePoint now);
+    void progressed(const RelayProgress &progress, TimePoint now, RelayCommands &commands);
     void ended(const RelayCompleted &end, TimePoint now, RelayCommands &commands);
     void probed(const RelayProbeResult &result, TimePoint now, RelayCommands &commands);
     void failed(const RelayFailure &failure, TimePoint now, RelayCommands &commands);
@@ -143,6 +143,9 @@
 private:
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
+    /** The row of an attempt from whose upstream something has arrived. If it was on standby, it becomes the row's only
+     *  one. */
+    RelayRow *respondingRow(const AttemptId &attempt, TimePoint now, RelayCommands &commands);
     /** Finds out which version began the stream that the request takes up. */
     void locateStream(RelayRow &row, TimePoint now, RelayCommands &commands);
     /** Goes on with the requests whose streams have been located, or are known not to be. */
@@ -170,13 +173,15 @@
     /** Tries another upstream if the request may run again and the retry budget allows it; otherwise gives the request
      *  up. */
     void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
+    /** Records what the failure says about the attempt's upstream. */
+    void noteFailure(const RelayRow &row, const RelayFailure &failure, TimePoint now);
     void giveUp(RelayRow &row, GiveUpReason reason, TimePoint now, RelayCommands &commands);
     /** Time after which the caller of a refused request should come back. */
     Duration retryAfterOf(const RelayRow &row, ResultCode code, TimePoint now);
     void finish(RelayRow &row, Outcome outcome, ResultCode code, TimePoint now, RelayCommands &commands);
     void checkTimeouts(RelayRow &row, TimePoint now, RelayCommands &commands);
-    /** Sends the request of a silent attempt to another upstream if it can begin there now. Otherwise the attempt goes
-     *  on. */
+    /** Sends the request of a silent attempt to another upstream if it can begin there now. The attempt goes on until
+     * it has begun there. */
     void takeOver(RelayRow &row, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
 
--- a/servers/relay/retry_rules.cpp
+++ b/servers/relay/retry_rules.cpp
@@ -19,6 +19,13 @@
 
 } // namespace
 
+bool mayBeDue(const RelayRow &row, TimePoint now)
+{
+    const bool isWaitOver = !row.hasUpstream() && now >= row.waitUntil;
+    const bool isRunning = row.hasUpstream() && row.isRetryable();
+    return now >= row.deadline || isWaitOver || isRunning;
+}
+
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now)
 {
     const bool attemptsExhausted = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -7,6 +7,15 @@
 
 namespace GeraniumLever {
 
+/** Interval at which another upstream is looked for while one is silent. */
+constexpr Duration TakeoverPeriod = std::chrono::milliseconds(100);
+/** Time for which a silent attempt goes on beside its replacement. An upstream that turns requests away, or cannot be
+ *  reached, shows it sooner; in more time, both might do the work. */
+constexpr Duration StandbyTime = std::chrono::milliseconds(250);
+
+/** False if the request needs no check of its deadline, its wait or its upstream's silence now. */
+bool mayBeDue(const RelayRow &row, TimePoint now);
+
 /** Why the request may not be sent again; absent if it may. */
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now);
 
