--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -182,6 +182,15 @@
         session->reset();
         return;
     }
+    if (std::chrono::steady_clock::now() < silentUntil_) {
+        const std::shared_ptr<Job> job = std::make_shared<Job>(context_);
+        session->whenPeerCloses([job]() {
+            job->over = true;
+            job->timer.cancel();
+        });
+        schedule(job, std::chrono::milliseconds(0), [this, session, request]() { handle(session, request); });
+        return;
+    }
     const std::string requestId(request["Request-Id"]);
     arrivals_.push_back({ requestId, std::chrono::steady_clock::now(), incarnation_, "" });
     const std::string expected(request["Expect-Instance"]);
@@ -274,21 +283,31 @@
         crashSoon(job);
         return;
     }
-    job->timer.expires_after(std::chrono::milliseconds(job->script.gap));
-    job->timer.async_wait([this, job](const boost::system::error_code &error) {
-        if (!error && !job->over) {
-            answerWhole(job);
-        }
-    });
+    schedule(job, std::chrono::milliseconds(job->script.gap), [this, job]() { answerWhole(job); });
 }
 
-void ServerStandIn::sendNextEvent(const std::shared_ptr<Job> &job)
+void ServerStandIn::schedule(const std::shared_ptr<Job> &job,
+                             std::chrono::milliseconds delay,
+                             std::function<void()> step)
 {
-    job->timer.expires_after(std::chrono::milliseconds(job->script.gap));
-    job->timer.async_wait([this, job](const boost::system::error_code &error) {
+    job->timer.expires_after(delay);
+    job->timer.async_wait([this, job, step = std::move(step)](const boost::system::error_code &error) {
         if (error || job->over) {
             return;
         }
+        const auto silence =
+            std::chrono::ceil<std::chrono::milliseconds>(silentUntil_ - std::chrono::steady_clock::now());
+        if (silence > std::chrono::milliseconds(0)) {
+            schedule(job, silence, step);
+            return;
+        }
+        step();
+    });
+}
+
+void ServerStandIn::sendNextEvent(const std::shared_ptr<Job> &job)
+{
+    schedule(job, std::chrono::milliseconds(job->script.gap), [this, job]() {
         const Script &script = job->script;
         const auto reached = [&job](const std::optional<std::uint64_t> &count) {
             return count.has_value() && job->nextEvent > *count;
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -107,6 +108,9 @@
     /** States this limit of requests a second in all further answers; empty: none. */
     void limit(const std::string &perSecond) { limit_ = perSecond; }
 
+    /** Sends nothing and looks at no request for a while, then goes on where it was. */
+    void fallSilent(std::chrono::milliseconds duration) { silentUntil_ = std::chrono::steady_clock::now() + duration; }
+
     /** Turns all further requests away with this text as the time for which it wants none; empty: serves again. */
     void pause(const std::string &seconds) { pause_ = seconds; }
 
@@ -139,6 +143,8 @@
                   const std::string &pause,
                   bool leaving);
     void run(const std::shared_ptr<RawSession> &session, const RawSession::Request &request);
+    /** Runs the step after a delay, or when the server is no longer silent, unless the job is over by then. */
+    void schedule(const std::shared_ptr<Job> &job, std::chrono::milliseconds delay, std::function<void()> step);
     void sendNextEvent(const std::shared_ptr<Job> &job);
     /** Goes on with single bytes of an event that never ends. */
     void trickle(const std::shared_ptr<Job> &job);
@@ -161,6 +167,7 @@
     std::string advertisedAddress_;
     bool leaving_ = false;
     bool crashed_ = false;
+    std::chrono::steady_clock::time_point silentUntil_;
     std::string pause_;
     std::string limit_;
     RawServer server_;
--- a/tests/system/relay_process_fixture.cpp
+++ b/tests/system/relay_process_fixture.cpp
@@ -32,12 +32,12 @@
 
 std::string RelayProcessFixture::settingsText(const RelayProcess &process,
                                               const std::string &storeAddress,
-                                              int keyLifetime)
+                                              int keyLifetime) const
 {
     return "node: " + process.node + "\ndata_center: dc\npeer_address: \"" + process.peerAddress
         + "\"\ncaller_address: \"" + process.callerAddress + "\"\nstatus_address: \"" + process.statusAddress
         + "\"\nstore_address: \"" + storeAddress + "\"\nkey_lifetime_ms: " + std::to_string(keyLifetime)
-        + "\napply_time_ms: 100\nrepeat_slack: 2000\nstop_limit_s: 5\n";
+        + "\napply_time_ms: 100\nrepeat_slack: " + std::to_string(retrySlack_) + "\nstop_limit_s: 5\n";
 }
 
 void RelayProcessFixture::writeSettings(const RelayProcess &process, const std::string &text)
--- a/tests/system/relay_process_fixture.h
+++ b/tests/system/relay_process_fixture.h
@@ -28,7 +28,7 @@
     RelayProcessFixture();
     ~RelayProcessFixture() override;
 
-    static std::string settingsText(const RelayProcess &process, const std::string &storeAddress, int keyLifetime);
+    std::string settingsText(const RelayProcess &process, const std::string &storeAddress, int keyLifetime) const;
     void writeSettings(const RelayProcess &process, const std::string &text);
 
     /** Starts the process and waits until it is ready. */
@@ -46,6 +46,8 @@
 
     /** Added to the settings of processes that are started from now on. */
     std::string moreSettings_;
+    /** Retries that all nodes may send beside their share of the requests. */
+    int retrySlack_ = 2000;
     std::string folder_;
     std::deque<RelayProcess> processes_;
 };
