Forward an upstream's failure when the retry budget is spent

What callers saw: nothing reported; found by looking for the class of fault of the silent upstreams elsewhere. An idempotent request that its upstream answered with 500 got 502 from the relay, and the upstream's answer was thrown away.

Cause: the answer was discarded before it was known whether the retry budget pays for another attempt.

Change: an answer with a failure is only given up for another attempt if that may be sent; otherwise it is forwarded, as that of the last attempt already was.

Result: FailureOfAnUpstreamIsForwardedWhenNoRetryIsLeft (relay_test) fails on the code before and passes. relay_test passes (234).

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -338,8 +338,7 @@
     if (found == queues_.end()) {
         return;
     }
-    RelayQueue &queue = found->second;
-    for (const RequestId &next : queue.first(MaxPlacementAttempts)) {
+    for (const RequestId &next : found->second.first(MaxPlacementAttempts)) {
         RelayRow &row = *rows_.edit(next);
         const std::optional<GiveUpReason> obstacle = obstacleOf(row, now);
         if (obstacle.has_value()) {
@@ -349,7 +348,7 @@
         }
         if (tryPlace(row, now, commands)) {
             retryAfterEstimatorOf(row).noteServed(row.waitSince, now);
-            queue.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
+            found->second.charge(row.tier, row.team, std::max(1.0, static_cast<double>(row.tokens())));
             leaveQueue(row);
         }
     }
@@ -464,7 +463,7 @@
     const bool continues = head.status == HttpOk && head.resumable;
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
-        if (row->firstByte.has_value() || (row->isRetryable() && !retryObstacleOf(*row, now).has_value())) {
+        if (row->firstByte.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
             row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
             attempts_.cancel(*row, commands);
@@ -577,6 +576,11 @@
     commands.emplace_back(recordProbe(result));
 }
 
+bool RelaySystem::mayRetry(const RelayRow &row, TimePoint now)
+{
+    return !retryObstacleOf(row, now).has_value() && budgets_.of(row.pool).available(now) >= 1.0;
+}
+
 void RelaySystem::retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands)
 {
     row.lastFailure = cause;
@@ -612,10 +616,9 @@
     }
     if (row.mayHaveRun) {
         const Outcome outcome = row.isRetryable() ? Outcome::Failed : Outcome::Unknown;
-        const bool deadlinePassed = now >= row.deadline;
-        finish(row, outcome, code, now, commands);
         // Status 503 would state that the request has not run.
-        const ResultCode final = deadlinePassed ? ResultCode::UpstreamTimeout : ResultCode::UpstreamLost;
+        const ResultCode final = now >= row.deadline ? ResultCode::UpstreamTimeout : ResultCode::UpstreamLost;
+        finish(row, outcome, code, now, commands);
         commands.emplace_back(
             RelayRefusal { request, { final, "the upstream did not answer", std::nullopt }, outcome });
         return;
@@ -734,12 +737,11 @@
     PlacementQuery query = placementQueryOf(row);
     query.excluded.insert(row.upstream.name);
     query.maxSilence = silenceLimitOf(row) / 2;
-    RelayRetryBudget &budget = budgets_.of(row.pool);
-    if (obstacleOf(row, now).has_value() || budget.available(now) < 1.0 || !limits_.admits(row, query, now)) {
+    if (obstacleOf(row, now).has_value() || !mayRetry(row, now) || !limits_.admits(row, query, now)) {
         return;
     }
     const std::optional<Placement> placement = placement_.choose(fleet_.directory(), query, now);
-    if (!placement.has_value() || !budget.spend(now)) {
+    if (!placement.has_value() || !budgets_.of(row.pool).spend(now)) {
         return;
     }
     row.failedUpstreams.insert(row.upstream.name);
--- a/tests/servers/relay/relay_system_test.cpp
+++ b/tests/servers/relay/relay_system_test.cpp
@@ -345,6 +345,20 @@
     EXPECT_LE(retried, 0.2 * sent + 58.0 / 12.0);
 }
 
+TEST_F(RelaySystemTest, FailureOfAnUpstreamIsForwardedWhenNoRetryIsLeft)
+{
+    configure();
+    int forwarded = 0;
+    for (int count = 0; count < 100; ++count) {
+        const RequestId request = arrive("/read/1");
+        answer(request, 500);
+        EXPECT_TRUE(refusals(request).empty());
+        forwarded += dispatches(request).size() == 1 && accepted(request) ? 1 : 0;
+        end(request);
+    }
+    EXPECT_GT(forwarded, 50);
+}
+
 // Streams.
 
 TEST_F(RelaySystemTest, BrokenStreamIsResumedAtAnotherUpstream)
