Keep the replacement of a silent attempt when the silent upstream turns the request away

What callers saw: nothing reported; found by a review of the takeover. An idempotent request whose upstream is silent is sent to another one; the silent upstream then rejects it (503, not run), and the caller gets 502 although the other upstream is about to answer.

Cause: any sign of the silent attempt, also a rejection or a notice, cancelled its replacement before it was known what the sign says. The request had no attempts left afterwards.

Change: a sign of the attempt on standby makes the two attempts change places. The other one is cancelled when part of a response is forwarded; if the response is a rejection or a failure, the request goes back to it, as it does after the failure of a replacement.

--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -22,8 +22,9 @@
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
 }
 
-void RelayAttempts::noteProgress(RelayRow &row, TimePoint now)
+void RelayAttempts::noteProgress(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
+    cancelStandby(row, commands);
     UpstreamLoad &load = placement_.load(row.upstream.name);
     load.noteTokenGap(now - row.progressAt, now);
     row.longestGap = std::max(row.longestGap, now - row.progressAt);
@@ -62,10 +63,10 @@
 
 void RelayAttempts::revive(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
+    const StandbyAttempt standby = *std::exchange(row.standby, std::nullopt);
     if (row.attempt != AttemptId()) {
-        cancel(row, commands);
+        putOnStandby(row, standby.endsAt);
     }
-    const StandbyAttempt standby = *std::exchange(row.standby, std::nullopt);
     row.attempt = standby.attempt;
     row.upstream = standby.upstream;
     row.upstreamVersion = standby.upstreamVersion;
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -20,7 +20,7 @@
     void start(RelayRow &row, const Placement &placement, TimePoint now);
 
     /** Another part of the response has arrived. */
-    void noteProgress(RelayRow &row, TimePoint now);
+    void noteProgress(RelayRow &row, TimePoint now, RelayCommands &commands);
 
     /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
     void end(RelayRow &row);
@@ -31,8 +31,8 @@
     /** Keeps the row's attempt beside the one that starts next. endsAt: when it ends at the latest. */
     static void putOnStandby(RelayRow &row, TimePoint endsAt);
 
-    /** Makes the attempt on standby the row's only one, and cancels the other if there is one. */
-    void revive(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Makes the attempt on standby the row's current one, and puts the other on standby if there is one. */
+    static void revive(RelayRow &row, TimePoint now, RelayCommands &commands);
 
     /** Releases the load of the attempt on standby; the row has none afterwards. */
     void endStandby(RelayRow &row);
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -496,7 +496,7 @@
 {
     RelayRow *row = respondingRow(progress.attempt, now, commands);
     if (row != nullptr) {
-        attempts_.noteProgress(*row, now);
+        attempts_.noteProgress(*row, now, commands);
     }
 }
 
@@ -586,7 +586,7 @@
     row.lastFailure = cause;
     commands.emplace_back(recordFailedAttempt(row, now));
     if (row.standby.has_value()) {
-        attempts_.revive(row, now, commands);
+        RelayAttempts::revive(row, now, commands);
         return;
     }
     // An attempt that never reached an upstream does not count as a retry.
@@ -763,7 +763,7 @@
 {
     RelayRow *row = rowOf(attempt);
     if (row != nullptr && row->isOnStandby(attempt)) {
-        attempts_.revive(*row, now, commands);
+        RelayAttempts::revive(*row, now, commands);
     }
     return row;
 }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -143,8 +143,8 @@
 private:
     void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
-    /** The row of an attempt from whose upstream something has arrived. If it was on standby, it becomes the row's only
-     *  one. */
+    /** The row of an attempt from whose upstream something has arrived. If it was on standby, it changes places with
+     *  the row's current one. */
     RelayRow *respondingRow(const AttemptId &attempt, TimePoint now, RelayCommands &commands);
     /** Finds out which version began the stream that the request takes up. */
     void locateStream(RelayRow &row, TimePoint now, RelayCommands &commands);
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -249,5 +249,61 @@
     EXPECT_EQ(system_.inFlight(), 0U);
 }
 
+/** A request that may be repeated, and whose upstream is silent until another one is to take it over. */
+class ReadTakeoverTest : public SilentUpstreamTest
+{
+protected:
+    void startTakeover()
+    {
+        configure();
+        read_ = arrive("/read/1");
+        silent_ = dispatches(read_).back().attempt;
+        pass(milliseconds(625), {});
+        ASSERT_EQ(dispatches(read_).size(), 2U);
+        next_ = dispatches(read_).back().attempt;
+        ASSERT_FALSE(cancelled(silent_));
+    }
+
+    void answerAttempt(const AttemptId &attempt, unsigned status, bool notRun)
+    {
+        RelayResponseHead head;
+        head.attempt = attempt;
+        head.status = status;
+        head.notRun = notRun;
+        system_.headArrived(head, clock_.now(), commands_);
+    }
+
+    void expectAnswerOf(const AttemptId &attempt)
+    {
+        EXPECT_FALSE(cancelled(attempt));
+        EXPECT_TRUE(refusals(read_).empty());
+        answerAttempt(attempt, 200, false);
+        system_.ended({ attempt }, clock_.now(), commands_);
+        EXPECT_EQ(lastDecision("finish")["outcome"], "answered");
+        EXPECT_EQ(system_.inFlight(), 0U);
+    }
+
+    RequestId read_;
+    AttemptId silent_;
+    AttemptId next_;
+};
+
+TEST_F(ReadTakeoverTest, ReplacementGoesOnWhenTheSilentUpstreamTurnsTheRequestAway)
+{
+    startTakeover();
+    answerAttempt(silent_, 503, true);
+    EXPECT_TRUE(cancelled(silent_));
+    expectAnswerOf(next_);
+}
+
+TEST_F(ReadTakeoverTest, ReplacementGoesOnWhenTheSilentUpstreamStatesAPause)
+{
+    startTakeover();
+    system_.noticeArrived({ silent_, false, milliseconds(500) }, clock_.now(), commands_);
+    answerAttempt(silent_, 503, true);
+    EXPECT_TRUE(cancelled(silent_));
+    expectAnswerOf(next_);
+}
+
 } // namespace
 } // namespace GeraniumLever
