Go back to the other attempt when one of two answers with a failure

What callers saw: nothing reported; found by a review of the takeover. An idempotent request has two attempts, one at a silent upstream and its replacement. The first of them that answers does so with 500; the caller gets it, and the other attempt is cancelled.

Cause: whether a failure is given up for another attempt was decided by what another attempt would cost. The other attempt is there already.

Change: as long as there is another attempt, a failure ends only its own.

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -463,7 +463,7 @@
     const bool continues = head.status == HttpOk && head.resumable;
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
-        if (row->firstByte.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
+        if (row->firstByte.has_value() || row->standby.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
             row->failedUpstreams.insert(row->upstream.name);
             row->mayHaveRun = true;
             attempts_.cancel(*row, commands);
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -305,5 +305,21 @@
     expectAnswerOf(next_);
 }
 
+TEST_F(ReadTakeoverTest, ReplacementGoesOnWhenTheSilentUpstreamAnswersWithAFailure)
+{
+    startTakeover();
+    answerAttempt(silent_, 500, false);
+    EXPECT_TRUE(cancelled(silent_));
+    expectAnswerOf(next_);
+}
+
+TEST_F(ReadTakeoverTest, SilentAttemptGoesOnWhenItsReplacementAnswersWithAFailure)
+{
+    startTakeover();
+    answerAttempt(next_, 500, false);
+    EXPECT_TRUE(cancelled(next_));
+    expectAnswerOf(silent_);
+}
+
 } // namespace
 } // namespace GeraniumLever
