Clear the suspicion of an upstream that goes on during a takeover

What callers saw: nothing reported. An upstream that was silent and goes on just after its request was sent to another one too remains excluded for 400 ms and more, though one that goes on a moment earlier does not.

Cause: the mark that says that the upstream is suspected was reset when the other attempt started, and not set again when the request went back. The upstream was also counted as failed a second time if it stayed silent then.

Change: a silent attempt that is revived is marked as such.

--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "servers/relay/relay_records.h"
+#include "servers/relay/retry_rules.h"
 
 namespace GeraniumLever {
 
@@ -74,6 +75,9 @@
     row.dispatchedAt = standby.dispatchedAt;
     row.progressAt = standby.progressAt;
     row.unreadTokens = standby.unreadTokens;
+    if (now - row.progressAt >= silenceLimitOf(row)) {
+        row.nextTakeoverAt = now + TakeoverPeriod;
+    }
     commands.emplace_back(recordRevival(row, now));
 }
 
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -321,5 +321,21 @@
     expectAnswerOf(silent_);
 }
 
+TEST_F(TakeoverTest, UpstreamThatGoesOnDuringATakeoverIsNoLongerSuspected)
+{
+    upstreams_ = { upstreamOf("e1", "engines", 48), upstreamOf("e2", "engines", 48) };
+    startTakeover();
+    system_.progressed({ silent_ }, clock_.now(), commands_);
+    ASSERT_TRUE(cancelled(next_));
+    const std::vector<RequestId> others = arriveMany("/live/1", 10);
+    std::set<UpstreamName> used;
+    for (const RequestId &other : others) {
+        for (const RelayDispatch &dispatch : dispatches(other)) {
+            used.insert(dispatch.upstream);
+        }
+    }
+    EXPECT_EQ(used.count(dispatches(stream_).front().upstream), 1U);
+}
+
 } // namespace
 } // namespace GeraniumLever
