Forward an upstream's failure when there is no other upstream

What callers saw: nothing reported; found by a review, by looking for the class of fault of the silent upstreams elsewhere. An idempotent request that the only upstream of its pool answered with 500 got 502 from the relay, and the upstream's answer was thrown away.

Cause: the answer was discarded before it was known whether there is another upstream.

Change: an answer with a failure is only given up for another attempt if there is an upstream that has not failed. Whether that one has room is not looked at: the request may wait for it, and gets 502 if it waits in vain.

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -463,8 +463,9 @@
     const bool continues = head.status == HttpOk && head.resumable;
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
-        if (row->firstByte.has_value() || row->standby.has_value() || (row->isRetryable() && mayRetry(*row, now))) {
-            row->failedUpstreams.insert(row->upstream.name);
+        row->failedUpstreams.insert(row->upstream.name);
+        const bool hasOther = placement_.hasUpstream(fleet_.directory(), placementQueryOf(*row));
+        if (row->firstByte.has_value() || row->standby.has_value() || (hasOther && mayRetry(*row, now))) {
             row->mayHaveRun = true;
             attempts_.cancel(*row, commands);
             retry(*row, ResultCode::UpstreamFailed, now, commands);
@@ -578,7 +579,7 @@
 
 bool RelaySystem::mayRetry(const RelayRow &row, TimePoint now)
 {
-    return !retryObstacleOf(row, now).has_value() && budgets_.of(row.pool).available(now) >= 1.0;
+    return row.isRetryable() && !retryObstacleOf(row, now).has_value() && budgets_.of(row.pool).available(now) >= 1.0;
 }
 
 void RelaySystem::retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands)
@@ -656,8 +657,7 @@
     if (outcome == Outcome::Answered && row.streamVersion.has_value()) {
         locator_.streamCompleted(row);
     }
-    const RequestId request = row.request.request;
-    rows_.erase(request);
+    rows_.erase(RequestId(row.request.request));
 }
 
 // Timeouts.
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -173,7 +173,7 @@
     /** Tries another upstream if the request may run again and the retry budget allows it; otherwise gives the request
      *  up. */
     void retry(RelayRow &row, ResultCode cause, TimePoint now, RelayCommands &commands);
-    /** True if the request may be sent again, and the retry budget pays for it. */
+    /** True if the request may be sent again even if it has run, and the retry budget pays for it. */
     bool mayRetry(const RelayRow &row, TimePoint now);
     /** Records what the failure says about the attempt's upstream. */
     void noteFailure(const RelayRow &row, const RelayFailure &failure, TimePoint now);
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -337,5 +337,16 @@
     EXPECT_EQ(used.count(dispatches(stream_).front().upstream), 1U);
 }
 
+TEST_F(SilentUpstreamTest, FailureOfAnUpstreamIsForwardedWhenNoOtherUpstreamIsLeft)
+{
+    upstreams_ = { upstreamOf("p1", "plain", 4) };
+    configure();
+    const RequestId read = arrive("/read/1");
+    answer(read, 500);
+    pass(milliseconds(500), {});
+    EXPECT_TRUE(refusals(read).empty());
+    EXPECT_TRUE(accepted(read));
+}
+
 } // namespace
 } // namespace GeraniumLever
