Keep a store call whose data arrived during a pause of the process

Callers of HttpClient (the store's calls, the watchers of upstreams) saw NoAnswer for a response whose next part already waited in the socket when the process went on after a pause longer than the stall time-out.

Cause: silence was taken for failure. The timer expires during the pause, so its handler is queued as successful together with the read; the read restarts the timer, but an expired timer can no longer be cancelled, and its handler reset the connection. The handler now checks the expiry that is in force.

HttpClientTest.ResponseThatArrivedDuringAPauseOfTheProcessIsDelivered failed before (HttpFailure::NoAnswer instead of the response) and passes now; all 96 tests of http_test pass.

--- a/drivers/http/http_exchange.cpp
+++ b/drivers/http/http_exchange.cpp
@@ -97,8 +97,9 @@
 void HttpExchange::startTimer(boost::asio::steady_timer &timer, Duration limit)
 {
     timer.expires_after(limit);
-    timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-        if (error || self->completion_ == nullptr) {
+    timer.async_wait([self = shared_from_this(), &timer](const boost::system::error_code &error) {
+        // An expired timer can no longer be cancelled, although data may have restarted it since.
+        if (error || self->completion_ == nullptr || timer.expiry() > std::chrono::steady_clock::now()) {
             return;
         }
         self->sender_->cancel();
--- a/tests/drivers/http/http_client_test.cpp
+++ b/tests/drivers/http/http_client_test.cpp
@@ -1,4 +1,5 @@
 #include <optional>
+#include <thread>
 
 #include <gtest/gtest.h>
 
@@ -64,6 +65,23 @@
     EXPECT_EQ(results_[0], HttpResult(expected));
 }
 
+// Guards against taking a pause of the process for a stalled call: its timer expires together with the arrival of data.
+TEST_F(HttpClientTest, ResponseThatArrivedDuringAPauseOfTheProcessIsDelivered)
+{
+    HttpRequest request = get("/rows");
+    request.stallTimeout = std::chrono::milliseconds(100);
+    send(request);
+    ASSERT_TRUE(awaitRequest(0, "GET /rows"));
+    listener_.connections()[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel");
+    std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    loop_.context().restart();
+    loop_.context().run_for(std::chrono::milliseconds(20));
+    listener_.connections()[0]->send("lo");
+    ASSERT_TRUE(awaitResults(1));
+    const HttpResponse expected { 200, { { "content-length", "5" } }, "hello" };
+    EXPECT_EQ(results_[0], HttpResult(expected));
+}
+
 TEST_F(HttpClientTest, NeverCallsTheHandlerFromWithinSend)
 {
     HttpRequest request = get("/");
