Deliver the last response of a connection to a caller that pauses

Callers with a slow link, or that did not read for two seconds, saw the end of a response missing if it was the last one of its connection (Connection: close, so every response of a node that is stopping, and every refusal of input).

Cause: a caller's silence was taken for its loss. The two seconds for which a closing connection lingers counted from the end of the response, not from its delivery, so bytes that were still unsent were dropped with the connection. The linger time now counts from the last byte written, and until then the limit for stalled writes holds, as it does while a response is being produced.

RelayServerTest.ResponseIsNotCutWhenItsCallerPausesForTwoSeconds (a response of 8 MiB, no read for 2.1 s) failed before and passes now, as do the other tests of relay_driver_test.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -169,7 +169,7 @@
         }
         break;
     case Phase::Closing:
-        if (passed > LingerTimeout) {
+        if (passed > (output_.unsent() == 0 ? LingerTimeout : StalledWriteTimeout)) {
             handleCallerGone();
         }
         break;
@@ -364,6 +364,9 @@
     if (phase_ == Phase::Responding) {
         checkBacklog();
     }
+    if (phase_ == Phase::Closing) {
+        phaseStart_ = std::chrono::steady_clock::now();
+    }
     shutDownSendIfFlushed();
 }
 
--- a/tests/drivers/relay/relay_server_test.cpp
+++ b/tests/drivers/relay/relay_server_test.cpp
@@ -1,5 +1,7 @@
 #include "drivers/relay/relay.h"
 
+#include <algorithm>
+
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -24,6 +26,16 @@
     void callArrived(RelayCallPtr call) override
     {
         ++calls_;
+        if (!body_.empty()) {
+            RelayResponse response;
+            response.status = 200;
+            response.reason = "OK";
+            response.length = body_.size();
+            server_.begin(call->attributes.request, response);
+            server_.append(call->attributes.request, body_);
+            server_.finish(call->attributes.request);
+            return;
+        }
         server_.refuse(call->attributes.request, { ResultCode::Shed, "x", std::nullopt }, Outcome::NotRun);
     }
 
@@ -72,9 +84,26 @@
     std::string address_;
     PassThroughHeaderCodec codec_;
     RelayServer server_;
+    /** Answers calls with this instead of an error, unless it is empty. */
+    std::string body_;
     int calls_ = 0;
 };
 
+// Guards against cutting the last response of a connection whose caller does not read for a while.
+TEST_F(RelayServerTest, ResponseIsNotCutWhenItsCallerPausesForTwoSeconds)
+{
+    body_.assign(8 * 1024 * 1024, 'x');
+    server_.announceClose();
+    Socket socket = connect();
+    send(socket);
+    ASSERT_TRUE(loop_.runUntil([&] { return calls_ == 1; }));
+    loop_.context().restart();
+    loop_.context().run_for(std::chrono::milliseconds(2100));
+    server_.tick();
+    const std::string text = readAll(socket);
+    EXPECT_EQ(std::count(text.begin(), text.end(), 'x'), static_cast<long>(body_.size()));
+}
+
 TEST_F(RelayServerTest, RequestThatArrivedBeforeTheDrainIsAnswered)
 {
     // The request arrives before the connection is accepted, so drain() has to accept the connection and read the
