Read what arrived during a pause before a request's input times out

Callers whose request was completed while the process was paused saw 408 instead of an answer: the header's time-out had expired, and the check of the time-outs may run before the connection is read (one poll reports up to 128 sockets).

Cause: the process's own pause was taken for the caller's silence. The time-out now does not reject input while unread bytes wait in the socket.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -159,7 +159,8 @@
         break;
     case Phase::Reading:
         if (passed > owner_.limits().headerTimeout
-            && (!parser_->headerComplete() || passed > owner_.limits().headerTimeout + BodyTimeout)) {
+            && (!parser_->headerComplete() || passed > owner_.limits().headerTimeout + BodyTimeout)
+            && !hasUnreadInput()) {
             rejectInput(Error { ResultCode::RequestTimeout, "The request did not arrive completely in time.", {} });
         }
         break;
@@ -178,6 +179,12 @@
     }
 }
 
+bool RelayConnection::hasUnreadInput() const
+{
+    boost::system::error_code error;
+    return socket_.available(error) != 0 && !error;
+}
+
 void RelayConnection::read()
 {
     if (readPending_ || phase_ == Phase::Closed
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -66,6 +66,8 @@
         Closed,
     };
 
+    /** Input may have arrived while the process was paused. */
+    bool hasUnreadInput() const;
     void read();
     void received(const boost::system::error_code &error, std::size_t bytes);
     void parse(std::size_t newBytes);
--- a/tests/drivers/relay/relay_server_test.cpp
+++ b/tests/drivers/relay/relay_server_test.cpp
@@ -1,6 +1,7 @@
 #include "drivers/relay/relay.h"
 
 #include <algorithm>
+#include <thread>
 
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
@@ -104,6 +105,24 @@
     EXPECT_EQ(std::count(text.begin(), text.end(), 'x'), static_cast<long>(body_.size()));
 }
 
+TEST_F(RelayServerTest, RequestThatArrivedDuringAPauseOfTheProcessIsAnswered)
+{
+    InputLimits limits;
+    limits.headerTimeout = std::chrono::milliseconds(50);
+    server_.setLimits(limits);
+    Socket socket = connect();
+    boost::asio::write(socket, boost::asio::buffer(Request.substr(0, 10)));
+    ASSERT_TRUE(loop_.runUntil([&] { return !server_.isDrained(); }));
+    loop_.context().restart();
+    loop_.context().run_for(std::chrono::milliseconds(20));
+    boost::asio::write(socket, boost::asio::buffer(Request.substr(10)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    server_.announceClose();
+    server_.tick();
+    EXPECT_TRUE(readAll(socket).starts_with("HTTP/1.1 503"));
+    EXPECT_EQ(calls_, 1);
+}
+
 TEST_F(RelayServerTest, RequestThatArrivedBeforeTheDrainIsAnswered)
 {
     // The request arrives before the connection is accepted, so drain() has to accept the connection and read the
