Take no notice of an upstream for a sign of a silent attempt

What callers saw: nothing reported; found by a review of the takeover. A notice (leaving, a pause) on the connection of a silent attempt made the attempt the current one, and its replacement ended although no response had begun.

Cause: a notice is reported before it is known whether the response belongs to the request, and says nothing about the attempt.

Change: a notice is attributed to the upstream of its attempt and changes no attempt.

--- a/servers/relay/relay_records.cpp
+++ b/servers/relay/relay_records.cpp
@@ -126,7 +126,7 @@
 Decision recordNotice(const RelayRow &row, const UpstreamNotice &notice)
 {
     Decision decision { "notice", {} };
-    decision.fields.emplace_back("upstream", row.upstream.name.text());
+    decision.fields.emplace_back("upstream", row.upstreamOf(notice.attempt).name.text());
     decision.fields.emplace_back("leaving", notice.leaving ? "true" : "false");
     decision.fields.emplace_back("pause_ms", milliseconds(notice.pause.value_or(Duration(0))));
     decision.fields.emplace_back("request", row.request.callerId);
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -115,6 +115,12 @@
 
     bool isOnStandby(const AttemptId &other) const { return standby.has_value() && standby->attempt == other; }
 
+    /** Of the current attempt or the one on standby. */
+    const UpstreamIdentity &upstreamOf(const AttemptId &other) const
+    {
+        return isOnStandby(other) ? standby->upstream : upstream;
+    }
+
     bool hasUpstream() const { return phase == RelayPhase::Sent || phase == RelayPhase::Answering; }
 
     /** True if the request takes up a stream that an earlier request of the caller began. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -431,11 +431,11 @@
 
 void RelaySystem::noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands)
 {
-    const RelayRow *row = respondingRow(notice.attempt, now, commands);
+    const RelayRow *row = rowOf(notice.attempt);
     if (row == nullptr) {
         return;
     }
-    if (!fleet_.noteNotice(row->upstream, notice, now)) {
+    if (!fleet_.noteNotice(row->upstreamOf(notice.attempt), notice, now)) {
         return;
     }
     commands.emplace_back(recordNotice(*row, notice));
@@ -555,7 +555,7 @@
 void RelaySystem::noteFailure(const RelayRow &row, const RelayFailure &failure, TimePoint now)
 {
     const bool isStandby = row.isOnStandby(failure.attempt);
-    const UpstreamIdentity &upstream = isStandby ? row.standby->upstream : row.upstream;
+    const UpstreamIdentity &upstream = row.upstreamOf(failure.attempt);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         placement_.load(upstream.name).noteUnreachable(now);
     } else {
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -348,5 +348,14 @@
     EXPECT_TRUE(accepted(read));
 }
 
+TEST_F(TakeoverTest, NoticeOfASilentUpstreamDoesNotEndItsReplacement)
+{
+    startTakeover();
+    system_.noticeArrived({ silent_, true, std::nullopt }, clock_.now(), commands_);
+    pass(milliseconds(275), {});
+    EXPECT_FALSE(cancelled(next_));
+    EXPECT_EQ(lastDecision("notice")["upstream"], dispatches(stream_).front().upstream.text());
+}
+
 } // namespace
 } // namespace GeraniumLever
