--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -41,6 +41,7 @@
     , limits_(settings_.node, fleet_, placement_)
     , locator_(settings_.node, settings_.dataCenter, fleet_)
     , quarantine_(settings_.seed + 3)
+    , crashes_(settings_.node, quarantine_, fleet_)
     , random_(settings_.seed + 1)
     , attempts_(settings_.origin, placement_)
     , budgets_(settings_.retryAllowance)
@@ -114,33 +115,12 @@
     }
 }
 
-std::optional<CrashReport> RelaySystem::crashReport(TimePoint now) const
-{
-    CrashReport report { settings_.node, quarantine_.report(now) };
-    return report.suspects.empty() ? std::nullopt : std::optional<CrashReport>(std::move(report));
-}
-
 QuarantineUpdate RelaySystem::reconcileQuarantine(const StoredQuarantine &stored, TimePoint now)
 {
     return quarantine_.reconcile(
         stored, [this](std::uint64_t part) { return fleet_.nodes().rank(settings_.node, part); }, now);
 }
 
-void RelaySystem::shareCrashReports(TimePoint now, RelayCommands &commands)
-{
-    for (const QuarantineChange &change : quarantine_.takeChanges()) {
-        commands.emplace_back(recordQuarantine(change));
-    }
-    std::vector<SuspectReport> news = quarantine_.takeNews(now);
-    if (news.empty()) {
-        return;
-    }
-    const CrashReport report { settings_.node, std::move(news) };
-    for (const PeerNode &peer : fleet_.peers().targets()) {
-        commands.emplace_back(OutgoingCrashReport { peer.address, report });
-    }
-}
-
 // Requests.
 
 void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
@@ -690,7 +670,7 @@
     locator_.tick(now, commands);
     handleLocatedStreams(now, commands);
     quarantine_.expire(now);
-    shareCrashReports(now, commands);
+    crashes_.share(now, commands);
     limits_.tick(now, commands);
     for (RelayProbe &probe : placement_.startDueProbes(fleet_.directory(), now)) {
         commands.emplace_back(std::move(probe));
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "servers/relay/fleet_state.h"
+#include "servers/relay/crash_exchange.h"
 #include "servers/relay/limit_system.h"
 #include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_admission.h"
@@ -94,7 +95,7 @@
     void crashReportReceived(const CrashReport &report, TimePoint now) { quarantine_.receive(report, now); }
 
     /** What to tell other relays about crashes once a second; absent if there is nothing to tell. */
-    std::optional<CrashReport> crashReport(TimePoint now) const;
+    std::optional<CrashReport> crashReport(TimePoint now) const { return crashes_.report(now); }
 
     /** Adopts the quarantined parts that the store knows; returns what this node should change there. */
     QuarantineUpdate reconcileQuarantine(const StoredQuarantine &stored, TimePoint now);
@@ -155,8 +156,6 @@
     void admit(RelayRow &row, TimePoint now, RelayCommands &commands);
     /** Tells the quarantine of the row's answer, at once or when it is certain that it was complete. */
     void noteAnswered(const RelayRow &row, TimePoint now);
-    /** Tells other nodes what has become known about crashes. */
-    void shareCrashReports(TimePoint now, RelayCommands &commands);
     /** Why the request may not be sent to any upstream; absent if it may. Some time can have passed since it was
      *  admitted, all the more if the process was paused. */
     std::optional<GiveUpReason> obstacleOf(const RelayRow &row, TimePoint now) const;
@@ -197,6 +196,7 @@
     UnconfirmedAnswers unconfirmedAnswers_;
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
+    CrashExchange crashes_;
     Table<RequestId, RelayRow> rows_;
     RelayAttempts attempts_;
     std::map<QueueKey, RelayQueue> queues_;
