Move requests of silent upstreams only to upstreams that have responded

What callers saw: nothing yet; found by the review of the fix. A node of a large fleet has requests at a few of many upstreams. An upstream without any counted as responsive, so that a stream could move from one silent upstream to another one that is silent, too, and is cut if that one turns it away when it goes on.

Cause: that nothing is known of an upstream was taken for a sign that it responds.

If none has, one without requests of this node will do, unless another upstream is silent as well: then the silence is probably common to all.

--- a/servers/relay/placement_query.h
+++ b/servers/relay/placement_query.h
@@ -29,7 +29,8 @@
     bool needsNotedVersion = false;
     /** Upstreams that must not be selected because an attempt there has failed. */
     std::set<UpstreamName> excluded;
-    /** If set, only an upstream will do that has not failed recently and has not been silent for longer than this. */
+    /** If set, only an upstream will do that has not failed recently and has responded within this time. One without
+     *  requests of this node will do if none has, and none is silent for longer. */
     std::optional<Duration> maxSilence;
 
     bool accepts(const std::string &upstreamVersion) const
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -114,6 +114,8 @@
     bool isSuspect = false;
     /** False if its software version must not serve the request. */
     bool hasVersion = true;
+    bool isSilent = false;
+    bool hasResponded = false;
     bool hasRoom = true;
     /** False if the free seats are reserved for other nodes. */
     bool mayTakeSeat = true;
@@ -159,9 +161,9 @@
         if (upstreamLoad != nullptr) {
             candidate.isSuspect = upstreamLoad->isSuspect(now) || upstreamLoad->isFull(now);
         }
-        if (query.maxSilence.has_value() && upstreamLoad != nullptr
-            && (candidate.isSuspect || upstreamLoad->silence(now) > *query.maxSilence)) {
-            continue;
+        if (query.maxSilence.has_value() && upstreamLoad != nullptr) {
+            candidate.isSilent = upstreamLoad->silence(now) > *query.maxSilence;
+            candidate.hasResponded = !candidate.isSilent && upstreamLoad->hasResponded(*query.maxSilence, now);
         }
         candidate.cost = candidate.load;
         if (upstreamLoad != nullptr) {
@@ -187,12 +189,30 @@
         anyHealthy = anyHealthy || (candidate.hasVersion && !candidate.isSuspect);
         result.push_back(candidate);
     }
-    if (anyHealthy) {
+    if (query.maxSilence.has_value()) {
+        keepResponding(result);
+    } else if (anyHealthy) {
         std::erase_if(result, [](const Candidate &candidate) { return candidate.isSuspect; });
     }
     return result;
 }
 
+void RelayPlacement::keepResponding(std::vector<Candidate> &candidates)
+{
+    const auto isAny = [&candidates](bool Candidate::*property) {
+        return std::any_of(candidates.begin(), candidates.end(), [property](const Candidate &candidate) {
+            return candidate.*property;
+        });
+    };
+    const bool anyResponded = isAny(&Candidate::hasResponded);
+    // If all that should have responded are silent, the others probably are, too.
+    const bool isCommonSilence = !anyResponded && isAny(&Candidate::isSilent);
+    std::erase_if(candidates, [anyResponded, isCommonSilence](const Candidate &candidate) {
+        return isCommonSilence || candidate.isSuspect || candidate.isSilent
+            || (anyResponded && !candidate.hasResponded);
+    });
+}
+
 const PoolNote *RelayPlacement::requiredNote(const UpstreamDirectory &directory, const PlacementQuery &query) const
 {
     const PoolNote *note = query.needsNotedVersion ? versionNotes_.find(query.pool) : nullptr;
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -116,6 +116,8 @@
     std::vector<Candidate> candidates(const UpstreamDirectory &directory,
                                       const PlacementQuery &query,
                                       TimePoint now) const;
+    /** Keeps the upstreams that can be trusted to respond. */
+    static void keepResponding(std::vector<Candidate> &candidates);
     const UpstreamLoad *find(const UpstreamName &name) const;
     bool mayServe(const UpstreamEntry &entry, const PlacementQuery &query) const;
     /** The note that the upstream's version must be in; nullptr if any version will do. */
--- a/servers/relay/upstream_load.cpp
+++ b/servers/relay/upstream_load.cpp
@@ -31,7 +31,7 @@
 
 void UpstreamLoad::begin(std::uint32_t tokens, std::uint32_t unreadTokens, TimePoint now)
 {
-    lastSignAt_ = ownRequests_ == 0 ? now : lastSignAt_;
+    busySince_ = ownRequests_ == 0 ? now : busySince_;
     ++ownRequests_;
     availableSeats_ -= 1.0;
     ownTokens_ += tokens;
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -1,6 +1,7 @@
 /** A node's estimate of the load and health of one upstream. */
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -76,7 +77,16 @@
     std::uint32_t ownRequests() const { return ownRequests_; }
 
     /** Time for which none of this node's requests there has received anything; 0 if it has none there. */
-    Duration silence(TimePoint now) const { return ownRequests_ == 0 ? Duration(0) : now - lastSignAt_; }
+    Duration silence(TimePoint now) const
+    {
+        return ownRequests_ == 0 ? Duration(0) : now - std::max(lastSignAt_, busySince_);
+    }
+
+    /** True if something has arrived from there within this time. */
+    bool hasResponded(Duration within, TimePoint now) const
+    {
+        return lastSignAt_ != TimePoint() && now - lastSignAt_ <= within;
+    }
 
     /** True while the upstream is excluded because of recent failures. */
     bool isSuspect(TimePoint now) const { return unreachable_ || now < suspectUntil_; }
@@ -95,7 +105,9 @@
     bool hasOthersWork(TimePoint now) const;
 
     std::uint32_t ownRequests_ = 0;
-    /** When anything last arrived, or the first of the requests was sent. */
+    /** When the first of them was sent. */
+    TimePoint busySince_;
+    /** When anything last arrived from there. */
     TimePoint lastSignAt_;
     std::uint64_t ownTokens_ = 0;
     std::uint64_t ownUnreadTokens_ = 0;
