Serve requests of silent upstreams before those that wait

Under steady load, a stream of an upstream that stays silent did not move to another one within 1.8 s; callers leave after about two.

Cause: another upstream was looked for every 100 ms only, and each seat that became free in between went to a request in the queue at once.

Change: whenever a queue is served, the requests of silent upstreams are tried first, unless requests of a higher tier wait.

--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -15,7 +15,7 @@
     row.upstreamVersion = placement.version;
     row.dispatchedAt = now;
     row.progressAt = now;
-    row.nextTakeoverAt.reset();
+    row.isSilent = false;
     row.unreadTokens = placement.unreadTokens;
     ++row.attempts;
     requests_.emplace(row.attempt, row.request.request);
@@ -30,7 +30,7 @@
     load.noteTokenGap(now - row.progressAt, now);
     row.longestGap = std::max(row.longestGap, now - row.progressAt);
     row.progressAt = now;
-    if (std::exchange(row.nextTakeoverAt, std::nullopt).has_value()) {
+    if (std::exchange(row.isSilent, false)) {
         load.noteAnswered(now);
     }
 }
@@ -75,9 +75,7 @@
     row.dispatchedAt = standby.dispatchedAt;
     row.progressAt = standby.progressAt;
     row.unreadTokens = standby.unreadTokens;
-    if (now - row.progressAt >= silenceLimitOf(row)) {
-        row.nextTakeoverAt = now + TakeoverPeriod;
-    }
+    row.isSilent = now - row.progressAt >= silenceLimitOf(row);
     commands.emplace_back(recordRevival(row, now));
 }
 
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -83,8 +83,8 @@
     TimePoint progressAt;
     /** The attempt before, as long as the current one may still turn out to be impossible. */
     std::optional<StandbyAttempt> standby;
-    /** When to look for another upstream again; absent unless the upstream is silent for longer than expected. */
-    std::optional<TimePoint> nextTakeoverAt;
+    /** True while the upstream is silent for longer than expected. */
+    bool isSilent = false;
     std::optional<Duration> firstByte;
     /** Longest time between two parts of the response. */
     Duration longestGap { 0 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -318,6 +318,7 @@
     if (found == queues_.end()) {
         return;
     }
+    takeOverSilent(queueKey, now, commands);
     for (const RequestId &next : found->second.first(MaxPlacementAttempts)) {
         RelayRow &row = *rows_.edit(next);
         const std::optional<GiveUpReason> obstacle = obstacleOf(row, now);
@@ -458,7 +459,7 @@
     attempts_.cancelStandby(*row, commands);
     row->phase = RelayPhase::Answering;
     row->progressAt = now;
-    row->nextTakeoverAt.reset();
+    row->isSilent = false;
     row->resumable = head.resumable;
     if (head.resumable && !row->firstByte.has_value()) {
         row->streamVersion = row->upstreamVersion;
@@ -702,22 +703,37 @@
     if (now - row.progressAt < silenceLimitOf(row) || retryObstacleOf(row, now).has_value()) {
         return;
     }
-    if (!row.nextTakeoverAt.has_value()) {
+    if (!std::exchange(row.isSilent, true)) {
         placement_.load(row.upstream.name).noteFailed(now);
         commands.emplace_back(recordSilence(row, now));
     }
-    if (now >= row.nextTakeoverAt.value_or(now)) {
-        row.nextTakeoverAt = now + TakeoverPeriod;
-        takeOver(row, now, commands);
+    silent_.insert(row.request.request);
+}
+
+void RelaySystem::takeOverSilent(const QueueKey &queueKey, TimePoint now, RelayCommands &commands)
+{
+    std::size_t tried = 0;
+    for (auto next = silent_.begin(); next != silent_.end() && tried < MaxPlacementAttempts;) {
+        RelayRow *row = rows_.edit(*next);
+        const bool isSilent = row != nullptr && row->hasUpstream() && row->isSilent;
+        if (isSilent && row->queueKey == queueKey) {
+            ++tried;
+            takeOver(*row, now, commands);
+        }
+        next = isSilent ? std::next(next) : silent_.erase(next);
     }
 }
 
 void RelaySystem::takeOver(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
+    const bool isPreceded = row.tier > 0 && queues_[row.queueKey].maxAhead(row.tier - 1) > 0;
+    if (isPreceded || obstacleOf(row, now).has_value() || !mayRetry(row, now)) {
+        return;
+    }
     PlacementQuery query = placementQueryOf(row);
     query.excluded.insert(row.upstream.name);
     query.maxSilence = silenceLimitOf(row) / 2;
-    if (obstacleOf(row, now).has_value() || !mayRetry(row, now) || !limits_.admits(row, query, now)) {
+    if (!limits_.admits(row, query, now)) {
         return;
     }
     const std::optional<Placement> placement = placement_.choose(fleet_.directory(), query, now);
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -3,10 +3,11 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
-#include "servers/relay/fleet_state.h"
 #include "servers/relay/crash_exchange.h"
+#include "servers/relay/fleet_state.h"
 #include "servers/relay/limit_system.h"
 #include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_admission.h"
@@ -184,6 +185,8 @@
     /** Sends the request of a silent attempt to another upstream if it can begin there now. The attempt goes on until
      * it has begun there. */
     void takeOver(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Takes over silent attempts before the requests that wait in the queue are served. */
+    void takeOverSilent(const QueueKey &queueKey, TimePoint now, RelayCommands &commands);
     RetryAfterEstimator &retryAfterEstimatorOf(const RelayRow &row);
 
     RelaySystemSettings settings_;
@@ -193,13 +196,15 @@
     LimitSystem limits_;
     StreamLocator locator_;
     PromptQuarantine quarantine_;
+    CrashExchange crashes_;
     UnconfirmedAnswers unconfirmedAnswers_;
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
-    CrashExchange crashes_;
     Table<RequestId, RelayRow> rows_;
     RelayAttempts attempts_;
     std::map<QueueKey, RelayQueue> queues_;
+    /** Requests whose upstream was silent when they were last checked. */
+    std::set<RequestId> silent_;
     RetryBudgets budgets_;
     std::vector<RelayRequestMetrics> requestMetrics_;
     bool draining_ = false;
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -7,8 +7,6 @@
 
 namespace GeraniumLever {
 
-/** Interval at which another upstream is looked for while one is silent. */
-constexpr Duration TakeoverPeriod = std::chrono::milliseconds(100);
 /** Time for which a silent attempt goes on beside its replacement. An upstream that turns requests away, or cannot be
  *  reached, shows it sooner; in more time, both might do the work. */
 constexpr Duration StandbyTime = std::chrono::milliseconds(250);
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -215,6 +215,7 @@
     answer(stream_);
     EXPECT_TRUE(cancelled(silent_));
     EXPECT_FALSE(cancelled(next_));
+    end(stream_);
     startTakeover();
     system_.progressed({ silent_ }, clock_.now(), commands_);
     EXPECT_TRUE(cancelled(next_));
@@ -337,6 +338,40 @@
     EXPECT_EQ(used.count(dispatches(stream_).front().upstream), 1U);
 }
 
+TEST_F(SilentUpstreamTest, StreamOfASilentUpstreamGetsARoomThatNewRequestsWaitForToo)
+{
+    upstreams_ = { upstreamOf("e1", "engines", 1), upstreamOf("e2", "engines", 1) };
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    const RequestId silent = streams.at(UpstreamName("e1")).front();
+    std::vector<RequestId> goingOn = streams.at(UpstreamName("e2"));
+    for (int step = 0; step < 36 && dispatches(silent).size() < 2; ++step) {
+        const std::vector<RequestId> waiting = arriveMany("/live/1", 2);
+        pass(milliseconds(50), goingOn);
+        end(goingOn.front());
+        goingOn.erase(goingOn.begin());
+        for (const RequestId &request : waiting) {
+            if (!dispatches(request).empty()) {
+                answer(request);
+                goingOn.push_back(request);
+            }
+        }
+        ASSERT_FALSE(goingOn.empty());
+    }
+    EXPECT_EQ(dispatches(silent).size(), 2U);
+}
+
+TEST_F(SilentUpstreamTest, StreamsDoNotMoveToUpstreamsThatShareTheirSilence)
+{
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    ASSERT_EQ(streams.size(), 4U);
+    passInSilence(milliseconds(1200));
+    for (const auto &[upstream, requests] : streams) {
+        EXPECT_EQ(dispatches(requests.front()).size(), 1U) << "moved to an upstream that has not shown any sign";
+    }
+}
+
 TEST_F(SilentUpstreamTest, FailureOfAnUpstreamIsForwardedWhenNoOtherUpstreamIsLeft)
 {
     upstreams_ = { upstreamOf("p1", "plain", 4) };
