Show that a pause of the node's own process cuts no stream

Two tests on the stepped clock: the process is paused for 1.2 s, and its first tick comes before anything that waits in its sockets. Right after the tick no stream moves, since no other upstream has shown a sign of life.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -157,6 +157,87 @@
     EXPECT_EQ(countBroken(silent), 0);
 }
 
+class PausedNodeTest : public SilentUpstreamTest
+{
+protected:
+    void SetUp() override
+    {
+        configure();
+        streams_ = beginStreams(90);
+        ASSERT_EQ(streams_.size(), 9U);
+    }
+
+    /** The process is paused, and its first tick comes before anything that waits in its sockets. */
+    void pauseProcess()
+    {
+        advance(milliseconds(1200));
+        tick();
+    }
+
+    /** Delivers what waits in the sockets to the upstream. */
+    void deliverFrom(const std::vector<RequestId> &streams)
+    {
+        for (const RequestId &stream : streams) {
+            system_.progressed({ dispatches(stream).front().attempt }, clock_.now(), commands_);
+        }
+    }
+
+    long countMoved() const
+    {
+        long moved = 0;
+        for (const auto &[upstream, requests] : streams_) {
+            moved += std::count_if(requests.begin(), requests.end(), [this](const RequestId &stream) {
+                return dispatches(stream).size() > 1;
+            });
+        }
+        return moved;
+    }
+
+    void endAll()
+    {
+        for (const auto &[upstream, requests] : streams_) {
+            EXPECT_EQ(countBroken(requests), 0);
+            deliverFrom(requests);
+            for (const RequestId &stream : requests) {
+                system_.ended({ dispatches(stream).front().attempt }, clock_.now(), commands_);
+            }
+            EXPECT_EQ(countBroken(requests), 0);
+        }
+        EXPECT_EQ(system_.inFlight(), 0U);
+    }
+
+    std::map<UpstreamName, std::vector<RequestId>> streams_;
+};
+
+TEST_F(PausedNodeTest, PauseOfTheNodeItselfMovesNoStream)
+{
+    pauseProcess();
+    EXPECT_EQ(countMoved(), 0);
+    for (const auto &[upstream, requests] : streams_) {
+        deliverFrom(requests);
+    }
+    advance(TickPeriod);
+    tick();
+    EXPECT_EQ(countMoved(), 0);
+    const RequestId later = arrive("/live/1");
+    EXPECT_EQ(dispatches(later).size(), 1U);
+    answer(later);
+    end(later);
+    endAll();
+}
+
+TEST_F(PausedNodeTest, StreamsThatMoveAfterAPauseAreNotCut)
+{
+    pauseProcess();
+    for (int number = 1; number <= 5; ++number) {
+        deliverFrom(streams_.at(UpstreamName("e" + std::to_string(number))));
+    }
+    advance(TickPeriod * 4);
+    tick();
+    EXPECT_GT(countMoved(), 0);
+    endAll();
+}
+
 class TakeoverTest : public SilentUpstreamTest
 {
 protected:
