Show that requests whose connects span a pause are not refused

RelayExchange reports a connect that took more than a second as not made, so a pause of the process makes all upstreams unreachable at once. On the stepped clock none of 90 requests that may run once is refused then; they are sent again.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -238,6 +238,19 @@
     endAll();
 }
 
+TEST_F(SilentUpstreamTest, RequestsWhoseConnectsSpannedAPauseAreNotRefused)
+{
+    configure();
+    const std::vector<RequestId> calls = arriveMany("/once/1", 90);
+    advance(milliseconds(1200));
+    for (const RequestId &call : calls) {
+        fail(call, RelayFailure::Kind::NotConnected);
+    }
+    pass(milliseconds(200), {});
+    EXPECT_EQ(countRefused(calls), 0);
+    EXPECT_EQ(dispatches(arrive("/once/1")).size(), 1U);
+}
+
 class TakeoverTest : public SilentUpstreamTest
 {
 protected:
