Do not take data that arrived during a pause for an upstream's silence

Callers of the product's own interface could have a sound stream moved, or a call that may run once end with its outcome unknown, after a pause of the node: when the silence limit expires during the pause and more than 128 sockets are readable, the timer's handler runs before the upstream's data is read.

Cause: the process's own pause was taken for the upstream's silence, and the attempt was ended on it. Unread input of the connection now counts as activity.

--- a/drivers/http/upstream_exchange.cpp
+++ b/drivers/http/upstream_exchange.cpp
@@ -304,10 +304,17 @@
     });
 }
 
+bool UpstreamExchange::hasUnreadInput() const
+{
+    boost::system::error_code error;
+    return connection_ != nullptr && connection_->socket().available(error) != 0 && !error;
+}
+
 void UpstreamExchange::timerExpired()
 {
     const SteadyTime now = std::chrono::steady_clock::now();
-    if (!reading_) {
+    // Data that arrived while the process was paused may not have been read yet.
+    if (!reading_ || hasUnreadInput()) {
         lastActivity_ = now;
     }
     const SteadyTime deadline = lastActivity_ + silenceLimit_;
--- a/drivers/http/upstream_exchange.h
+++ b/drivers/http/upstream_exchange.h
@@ -58,6 +58,7 @@
     /** Marks the exchange as over; false if it already was. */
     bool close();
     void armTimer(SteadyTime deadline);
+    bool hasUnreadInput() const;
     void timerExpired();
 
     std::shared_ptr<ConnectionPool> pool_;
--- a/tests/drivers/http/upstream_client_test.cpp
+++ b/tests/drivers/http/upstream_client_test.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include "drivers/http/http.h"
@@ -280,6 +282,28 @@
     EXPECT_EQ(log_.count<UpstreamHead>(), 1U);
 }
 
+TEST_F(UpstreamClientTest, DataThatArrivedDuringAPauseOfTheProcessIsNotTakenForSilence)
+{
+    // More sockets than one poll reports become readable before the upstream's.
+    std::vector<std::pair<std::shared_ptr<RawConnection>, std::shared_ptr<RawConnection>>> others;
+    for (std::size_t number = 0; number < 300; ++number) {
+        const std::shared_ptr<RawConnection> other = RawConnection::open(loop_.context(), listener_.port());
+        ASSERT_TRUE(await([&] { return listener_.connections().size() == number + 1; }));
+        others.emplace_back(other, listener_.connections().back());
+    }
+    UpstreamDispatch dispatch = dispatchOf(1);
+    dispatch.silenceLimit = std::chrono::milliseconds(300);
+    client_.dispatch(dispatch);
+    ASSERT_TRUE(awaitRequest(others.size(), 1));
+    std::this_thread::sleep_for(dispatch.silenceLimit * 2);
+    for (const auto &[near, far] : others) {
+        far->send("x");
+    }
+    peer(others.size()).send(emptyOk);
+    ASSERT_TRUE(await([this] { return log_.count<UpstreamEnd>() + log_.count<UpstreamFailure>() != 0; }));
+    EXPECT_EQ(log_.count<UpstreamEnd>(), 1U);
+}
+
 TEST_F(UpstreamClientTest, SilentConnectionIsReported)
 {
     poolOneConnection();
