Say in the pages what a revival means since two attempts may change places

A comment and a page said that the silent attempt is the request's only one again; the other one may go on beside it for a moment. No code changes.

--- a/servers/relay/relay_records.h
+++ b/servers/relay/relay_records.h
@@ -51,7 +51,7 @@
 /** The upstream of the row's attempt has been silent for longer than expected; the attempt goes on. */
 Decision recordSilence(const RelayRow &row, TimePoint now);
 
-/** The silent attempt goes on as the row's only one, since it has received something or its replacement failed. */
+/** The silent attempt is the row's current one again: it has received something, or its replacement failed. */
 Decision recordRevival(const RelayRow &row, TimePoint now);
 
 /** The row's last attempt failed for the reason in lastFailure. */
