Tell at the end of a process what arrived and was not looked at

A request that reaches a connection which the node closes leaves no line in the log, so that a loss on the callers' side could not be told from one that the caller's network caused.

Change: event=stopped says on how many connections a request, or a part of one, had arrived and was not looked at (unreported_input).

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -148,6 +148,11 @@
     return (phase_ == Phase::Closing || phase_ == Phase::Closed) && output_.unsent() == 0;
 }
 
+bool RelayConnection::hasUnreportedInput() const
+{
+    return phase_ == Phase::Reading || (phase_ == Phase::Idle && (input_.size() != 0 || hasUnreadInput()));
+}
+
 void RelayConnection::checkTimeouts(std::chrono::steady_clock::time_point now)
 {
     const std::chrono::steady_clock::duration passed = now - phaseStart_;
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -54,6 +54,9 @@
     /** True if the last response has been written, and no further request will be read. */
     bool isDrained() const;
 
+    /** True if a request, or a part of one, has arrived that has not been reported yet. */
+    bool hasUnreportedInput() const;
+
     void checkTimeouts(std::chrono::steady_clock::time_point now);
 
 private:
--- a/drivers/relay/relay_server.cpp
+++ b/drivers/relay/relay_server.cpp
@@ -178,6 +178,14 @@
                        [](const State::ConnectionPtr &connection) { return connection->isDrained(); });
 }
 
+std::size_t RelayServer::countUnreportedInput() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        state_->connections.begin(), state_->connections.end(), [](const State::ConnectionPtr &connection) {
+            return connection->hasUnreportedInput();
+        }));
+}
+
 void RelayServer::tick()
 {
     const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
--- a/drivers/relay/relay_server.h
+++ b/drivers/relay/relay_server.h
@@ -70,6 +70,9 @@
     /** True if no connection has, or may still receive, a request or a response in progress. */
     bool isDrained() const;
 
+    /** Connections on which a request, or a part of one, has arrived that has not been reported yet. */
+    std::size_t countUnreportedInput() const;
+
     /** Closes connections that have been idle, or have taken too long to send a request. To be called a few times per
      *  second. */
     void tick();
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -435,7 +435,8 @@
             callerServer.drain();
         }
         if ((now >= drainAt && system.inFlight() == 0 && callerServer.isDrained()) || now >= forcedStopAt) {
-            LOG(INFO) << "event=stopped in_flight=" << system.inFlight();
+            LOG(INFO) << "event=stopped in_flight=" << system.inFlight()
+                      << " unreported_input=" << callerServer.countUnreportedInput();
             log.flush();
             storePoller.stop();
             quarantineSync.stop();
--- a/tests/drivers/relay/relay_server_test.cpp
+++ b/tests/drivers/relay/relay_server_test.cpp
@@ -156,9 +156,11 @@
     server_.announceClose();
     server_.drain();
     EXPECT_FALSE(server_.isDrained());
+    EXPECT_EQ(server_.countUnreportedInput(), 1U);
     boost::asio::write(socket, boost::asio::buffer(Request.substr(10)));
     EXPECT_TRUE(readAll(socket).starts_with("HTTP/1.1 503"));
     EXPECT_TRUE(loop_.runUntil([&] { return server_.isDrained(); }));
+    EXPECT_EQ(server_.countUnreportedInput(), 0U);
 }
 
 } // namespace
