Answer requests that reach an idle connection before it is closed

What callers saw: a request on a kept connection got neither an answer nor a refusal; its connection was closed.

Cause: to close an idle connection, at the end of its idle time or at a planned stop, the node cancels the pending read, in the belief that a read whose data has arrived completes all the same. That holds only if the event loop has seen the data.

Evidence: with the code before, IdleConnectionTest (relay_driver_test) lost the request in each of three cases: unread when the idle time ends, unread at a drain, arrived between the cancelled read and its handler. No log line or metric named it, and no server had got it.

Change: an idle connection with unread input stays open, and the handler of a cancelled read looks once more before it closes.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -134,11 +134,11 @@
 
 void RelayConnection::closeIfIdle()
 {
-    if (phase_ != Phase::Idle || output_.unsent() != 0 || input_.size() != 0) {
+    if (phase_ != Phase::Idle || output_.unsent() != 0 || input_.size() != 0 || hasUnreadInput()) {
         return;
     }
-    // A read may have completed although its handler has not run yet, and its data must not be lost. So only the
-    // pending read is cancelled; the connection closes in its handler unless data had arrived.
+    // Only the pending read is cancelled, so that what arrives before its handler runs is not lost; the connection
+    // closes there.
     boost::system::error_code ignored;
     socket_.cancel(ignored);
 }
@@ -209,6 +209,11 @@
     if (phase_ == Phase::Closed) {
         return;
     }
+    const bool isCancelled = error == boost::asio::error::operation_aborted;
+    if (isCancelled && hasUnreadInput()) {
+        read();
+        return;
+    }
     if (error) {
         handleCallerGone();
         return;
--- a/tests/drivers/relay/relay_server_test.cpp
+++ b/tests/drivers/relay/relay_server_test.cpp
@@ -123,6 +123,66 @@
     EXPECT_EQ(calls_, 1);
 }
 
+/** A connection whose first request has been answered. */
+class IdleConnectionTest : public RelayServerTest
+{
+protected:
+    void SetUp() override
+    {
+        send(socket_);
+        ASSERT_TRUE(loop_.runUntil([&] { return calls_ == 1; }));
+        loop_.context().restart();
+        loop_.context().run_for(std::chrono::milliseconds(20));
+    }
+
+    void setIdleTimeout(Duration timeout)
+    {
+        InputLimits limits;
+        limits.idleTimeout = timeout;
+        server_.setLimits(limits);
+    }
+
+    void exceedIdleTimeout()
+    {
+        loop_.context().restart();
+        loop_.context().run_for(std::chrono::milliseconds(20));
+    }
+
+    /** Sends another request; false if it gets no answer. */
+    bool isAnswered()
+    {
+        const int before = calls_;
+        boost::system::error_code ignored;
+        boost::asio::write(socket_, boost::asio::buffer(Request), ignored);
+        return loop_.runUntil([&] { return calls_ == before + 1; });
+    }
+
+    Socket socket_ = connect();
+};
+
+TEST_F(IdleConnectionTest, RequestThatHasNotBeenReadIsNotLostWhenTheIdleTimeEnds)
+{
+    setIdleTimeout(std::chrono::milliseconds(1));
+    ASSERT_TRUE(isAnswered());
+    exceedIdleTimeout();
+    send(socket_);
+    server_.tick();
+    EXPECT_TRUE(loop_.runUntil([&] { return calls_ == 3; }));
+}
+
+TEST_F(IdleConnectionTest, RequestThatHasNotBeenReadIsNotLostAtADrain)
+{
+    send(socket_);
+    server_.drain();
+    EXPECT_TRUE(loop_.runUntil([&] { return calls_ == 2; }));
+}
+
+TEST_F(IdleConnectionTest, RequestThatArrivesWhileItsConnectionIsBeingClosedIsNotLost)
+{
+    server_.drain();
+    EXPECT_TRUE(isAnswered());
+}
+
 TEST_F(RelayServerTest, RequestThatArrivedBeforeTheDrainIsAnswered)
 {
     // The request arrives before the connection is accepted, so drain() has to accept the connection and read the
