Close idle connections by the limit that held when they became idle

What callers saw: nothing yet. A caller reuses connections within four fifths of the idle limit that it knows. If a change of the configuration shortens the limit, connections that callers may still use were closed at the next check, and the requests that crossed the close failed.

Cause: the limit in force was applied to idle time that had begun under a longer one.

Change: a connection closes after the limit that held when it became idle, or after the one in force if that is longer.

Result: ShorterIdleLimitDoesNotCloseConnectionsThatWereIdleBefore (IdleConnectionTest) failed before and passes; IdleConnectionIsClosedAfterTheLimitThatHeldWhenItBecameIdle passes before and after; relay_driver_test 28 passed.

--- a/drivers/relay/relay_connection.cpp
+++ b/drivers/relay/relay_connection.cpp
@@ -1,5 +1,6 @@
 #include "drivers/relay/relay_connection.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -41,6 +42,7 @@
     , owner_(owner)
     , output_(socket_, [this](bool succeeded) { written(succeeded); })
     , phaseStart_(std::chrono::steady_clock::now())
+    , idleLimit_(owner.limits().idleTimeout)
 {
     boost::system::error_code ignored;
     socket_.non_blocking(true, ignored);
@@ -158,7 +160,7 @@
     const std::chrono::steady_clock::duration passed = now - phaseStart_;
     switch (phase_) {
     case Phase::Idle:
-        if (passed > owner_.limits().idleTimeout) {
+        if (passed > std::max(idleLimit_, owner_.limits().idleTimeout)) {
             closeIfIdle();
         }
         break;
@@ -341,6 +343,7 @@
     }
     phase_ = Phase::Idle;
     phaseStart_ = std::chrono::steady_clock::now();
+    idleLimit_ = owner_.limits().idleTimeout;
     flush();
     if (input_.size() == 0) {
         return;
--- a/drivers/relay/relay_connection.h
+++ b/drivers/relay/relay_connection.h
@@ -96,6 +96,8 @@
     RequestId request_;
     Phase phase_ = Phase::Idle;
     std::chrono::steady_clock::time_point phaseStart_;
+    /** The limit that was in force when the connection became idle. */
+    Duration idleLimit_;
     /** Bytes reserved with the owner for the current request, until it has been answered. */
     std::size_t reservedInputBytes_ = 0;
     std::size_t discardedBytes_ = 0;
--- a/tests/drivers/relay/relay_server_test.cpp
+++ b/tests/drivers/relay/relay_server_test.cpp
@@ -183,6 +183,24 @@
     EXPECT_TRUE(isAnswered());
 }
 
+TEST_F(IdleConnectionTest, ShorterIdleLimitDoesNotCloseConnectionsThatWereIdleBefore)
+{
+    setIdleTimeout(std::chrono::milliseconds(1));
+    exceedIdleTimeout();
+    server_.tick();
+    exceedIdleTimeout();
+    EXPECT_TRUE(isAnswered());
+}
+
+TEST_F(IdleConnectionTest, IdleConnectionIsClosedAfterTheLimitThatHeldWhenItBecameIdle)
+{
+    setIdleTimeout(std::chrono::milliseconds(1));
+    ASSERT_TRUE(isAnswered());
+    exceedIdleTimeout();
+    server_.tick();
+    EXPECT_TRUE(readAll(socket_).ends_with("}"));
+}
+
 TEST_F(RelayServerTest, RequestThatArrivedBeforeTheDrainIsAnswered)
 {
     // The request arrives before the connection is accepted, so drain() has to accept the connection and read the
