Let a request go back to an upstream when its route allows no further one

What callers saw: streams cut in the middle.

Cause: a takeover uses one of the route's attempts for good.

Evidence: on the code before, StreamIsNotCutWhenItsUpstreamCrashesAfterANeedlessTakeover and StreamIsNotCutWhenItsReplacementTurnsItAwayAfterTheSilentAttemptHasEnded fail (2 of 24 in relay_silence_test); both streams end with reason=no_attempts_left.

Change: a route's number of attempts bounds the upstreams that a request is sent to, as the setting says. A request that has been at so many may go back to one that has not failed; a silent upstream has not. The retry budget pays for each attempt as before, and there are at most two for each allowed upstream.

Ruled out: counting attempts that were turned away as unsent, which would send requests to more upstreams than the route allows; a longer time side by side, in which two upstreams might run the same request.

Result: both tests pass, and RequestDoesNotGoBackToUpstreamsThatFailed, which passed before, does; relay_silence_test 24, relay_test 218, upstream_limits_test 16, relay_node_test 64 passed.

--- a/servers/relay/placement_query.cpp
+++ b/servers/relay/placement_query.cpp
@@ -20,6 +20,12 @@
     query.version = row.streamVersion;
     query.needsNotedVersion = row.beginsResumableStream();
     query.excluded = row.failedUpstreams;
+    if (row.attemptsByUpstream.size() >= row.route->maxAttempts) {
+        query.allowed.emplace();
+        for (const auto &[upstream, attempts] : row.attemptsByUpstream) {
+            query.allowed->insert(upstream);
+        }
+    }
     return query;
 }
 
--- a/servers/relay/placement_query.h
+++ b/servers/relay/placement_query.h
@@ -29,6 +29,8 @@
     bool needsNotedVersion = false;
     /** Upstreams that must not be selected because an attempt there has failed. */
     std::set<UpstreamName> excluded;
+    /** If set, only one of these upstreams may be selected, because the request may go to no further one. */
+    std::optional<std::set<UpstreamName>> allowed;
     /** If set, only an upstream will do that has not failed recently and has responded within this time. One without
      *  requests of this node will do if none has, and none is silent for longer. */
     std::optional<Duration> maxSilence;
@@ -37,6 +39,8 @@
     {
         return version.value_or(upstreamVersion) == upstreamVersion;
     }
+
+    bool allows(const UpstreamName &upstream) const { return !allowed.has_value() || allowed->count(upstream) > 0; }
 };
 
 PlacementQuery placementQueryOf(const RelayRow &row);
--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -18,6 +18,7 @@
     row.isSilent = false;
     row.unreadTokens = placement.unreadTokens;
     ++row.attempts;
+    ++row.attemptsByUpstream[row.upstream.name];
     requests_.emplace(row.attempt, row.request.request);
     placement_.load(row.upstream.name).begin(row.tokens(), row.unreadTokens, now);
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
@@ -44,6 +45,16 @@
     row.attempt = AttemptId();
 }
 
+void RelayAttempts::endUnsent(RelayRow &row)
+{
+    ++row.failedConnects;
+    --row.attempts;
+    if (--row.attemptsByUpstream.at(row.upstream.name) == 0) {
+        row.attemptsByUpstream.erase(row.upstream.name);
+    }
+    end(row);
+}
+
 void RelayAttempts::cancel(RelayRow &row, RelayCommands &commands)
 {
     commands.emplace_back(RelayCancel { row.attempt });
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -25,6 +25,9 @@
     /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
     void end(RelayRow &row);
 
+    /** Ends an attempt that could not connect to its upstream; it does not count. */
+    void endUnsent(RelayRow &row);
+
     /** Ends the attempt, and cancels it at its upstream. */
     void cancel(RelayRow &row, RelayCommands &commands);
 
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -112,8 +112,8 @@
     std::uint64_t score = 0;
     std::size_t rank = 0;
     bool isSuspect = false;
-    /** False if its software version must not serve the request. */
-    bool hasVersion = true;
+    /** False if its software version must not serve the request, or the request may go to no further upstream. */
+    bool isAllowed = true;
     bool isSilent = false;
     bool hasResponded = false;
     bool hasRoom = true;
@@ -154,8 +154,8 @@
         if (candidate.isLimited && limits_.permits(name, now).count == 0) {
             continue;
         }
-        candidate.hasVersion =
-            query.accepts(entry.version) && (requiredNote == nullptr || servesVersion(*requiredNote, entry.version));
+        candidate.isAllowed = query.allows(name) && query.accepts(entry.version)
+            && (requiredNote == nullptr || servesVersion(*requiredNote, entry.version));
         const UpstreamLoad *upstreamLoad = find(name);
         candidate.load = upstreamLoad == nullptr ? 0.0 : upstreamLoad->requests(now);
         if (upstreamLoad != nullptr) {
@@ -186,7 +186,7 @@
         if (candidate.load >= static_cast<double>(entry.seats) * SeatOversubscription) {
             candidate.hasRoom = false;
         }
-        anyHealthy = anyHealthy || (candidate.hasVersion && !candidate.isSuspect);
+        anyHealthy = anyHealthy || (candidate.isAllowed && !candidate.isSuspect);
         result.push_back(candidate);
     }
     if (query.maxSilence.has_value()) {
@@ -229,7 +229,7 @@
 {
     return std::any_of(directory.entries().begin(), directory.entries().end(), [&](const auto &item) {
         const auto &[name, entry] = item;
-        return mayServe(entry, query) && query.excluded.count(name) == 0;
+        return mayServe(entry, query) && query.excluded.count(name) == 0 && query.allows(name);
     });
 }
 
@@ -412,8 +412,8 @@
         }
         partition = partitioners_[query.pool].enginesFor(query.pool, query.tokenGapTarget, std::move(engines), now);
     }
-    // Only now, because the size of a partition must not depend on the version that a single request needs.
-    std::erase_if(eligible, [](const Candidate &candidate) { return !candidate.hasVersion; });
+    // Only now, because the size of a partition must not depend on what a single request needs.
+    std::erase_if(eligible, [](const Candidate &candidate) { return !candidate.isAllowed; });
     // An engine that limits its requests belongs to no partition, since it appears and disappears with each permit.
     const auto isInPartition = [&partition](const Candidate &candidate) {
         return candidate.isLimited
@@ -424,7 +424,7 @@
         std::any_of(eligible.begin(), eligible.end(), [&isInPartition](const Candidate &candidate) {
             return candidate.hasRoom && isInPartition(candidate);
         });
-    const bool mayOverflow = partition.mayOverflow || query.version.has_value();
+    const bool mayOverflow = partition.mayOverflow || query.version.has_value() || query.allowed.has_value();
     if (query.engine && (partitionHasRoom || !mayOverflow)) {
         std::erase_if(eligible, [&isInPartition](const Candidate &candidate) { return !isInPartition(candidate); });
     }
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -1,6 +1,7 @@
 /** One row of the relay's request table. */
 #pragma once
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -99,6 +100,8 @@
     std::uint32_t attempts = 0;
     /** Attempts that failed to connect to an upstream. */
     std::uint32_t failedConnects = 0;
+    /** Number of these attempts at each upstream. */
+    std::map<UpstreamName, std::uint32_t> attemptsByUpstream;
     /** Upstreams where an attempt has failed. */
     std::set<UpstreamName> failedUpstreams;
     /** True if an earlier attempt may have run. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -520,12 +520,11 @@
         return;
     }
     row->failedUpstreams.insert(row->upstream.name);
-    attempts_.end(*row);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
-        ++row->failedConnects;
-        --row->attempts;
+        attempts_.endUnsent(*row);
         retry(*row, ResultCode::UpstreamRefused, now, commands);
     } else {
+        attempts_.end(*row);
         row->mayHaveRun = true;
         const bool garbled = failure.kind == RelayFailure::Kind::InvalidResponse;
         retry(*row, garbled ? ResultCode::CrossedAnswer : ResultCode::UpstreamLost, now, commands);
@@ -740,7 +739,6 @@
     if (!placement.has_value() || !budgets_.of(row.pool).spend(now)) {
         return;
     }
-    row.failedUpstreams.insert(row.upstream.name);
     row.mayHaveRun = true;
     row.lastFailure = ResultCode::UpstreamTimeout;
     commands.emplace_back(recordFailedAttempt(row, now));
--- a/servers/relay/retry_rules.cpp
+++ b/servers/relay/retry_rules.cpp
@@ -9,6 +9,8 @@
 
 /** Failed connection attempts, none of which reached an upstream, after which a request is given up. */
 constexpr std::uint32_t MaxFailedConnects = 3;
+/** Attempts for each upstream that the route allows: a request may go back to one that has not failed. */
+constexpr std::uint32_t AttemptsPerUpstream = 2;
 /** A retry is worth its cost only if at least this much time is left. */
 constexpr Duration MinTimeForRetry = std::chrono::milliseconds(60);
 /** Latency targets without the first part of the response. */
@@ -17,6 +19,19 @@
 /** Gap targets between two parts of the response. */
 constexpr int StallTimeoutGaps = 4;
 
+/** False if the request has been sent to as many upstreams as its route allows, and cannot go back to any of them. */
+bool mayUseUpstream(const RelayRow &row)
+{
+    if (row.attemptsByUpstream.size() < row.route->maxAttempts) {
+        return true;
+    }
+    const bool isRunning = row.attempt != AttemptId();
+    return std::any_of(row.attemptsByUpstream.begin(), row.attemptsByUpstream.end(), [&](const auto &entry) {
+        const bool isCurrent = isRunning && entry.first == row.upstream.name;
+        return !isCurrent && row.failedUpstreams.count(entry.first) == 0;
+    });
+}
+
 } // namespace
 
 bool mayBeDue(const RelayRow &row, TimePoint now)
@@ -28,7 +43,8 @@
 
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now)
 {
-    const bool attemptsExhausted = row.attempts >= row.route->maxAttempts || row.failedConnects >= MaxFailedConnects;
+    const bool attemptsExhausted = row.attempts >= row.route->maxAttempts * AttemptsPerUpstream
+        || row.failedConnects >= MaxFailedConnects || !mayUseUpstream(row);
     const std::pair<bool, GiveUpReason> obstacles[] = {
         { row.callerGone, GiveUpReason::CallerGone },
         { row.mayHaveRun && !row.isRetryable(), GiveUpReason::RunsOnce },
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -274,6 +274,15 @@
         system_.ended({ silent_ }, clock_.now(), commands_);
     }
 
+    std::size_t countUpstreams(const RequestId &request) const
+    {
+        std::set<UpstreamName> upstreams;
+        for (const RelayDispatch &dispatch : dispatches(request)) {
+            upstreams.insert(dispatch.upstream);
+        }
+        return upstreams.size();
+    }
+
     RequestId stream_;
     AttemptId silent_;
     AttemptId next_;
@@ -329,6 +338,43 @@
     EXPECT_EQ(lastDecision("finish")["outcome"], "answered");
 }
 
+TEST_F(TakeoverTest, StreamIsNotCutWhenItsReplacementTurnsItAwayAfterTheSilentAttemptHasEnded)
+{
+    startTakeover();
+    pass(milliseconds(400), {});
+    ASSERT_TRUE(cancelled(silent_));
+    answerNotRun(stream_);
+    EXPECT_FALSE(broken(stream_));
+    answer(stream_);
+    end(stream_);
+    EXPECT_EQ(lastDecision("finish")["outcome"], "answered");
+    EXPECT_EQ(countUpstreams(stream_), 2U);
+}
+
+TEST_F(TakeoverTest, StreamIsNotCutWhenItsUpstreamCrashesAfterANeedlessTakeover)
+{
+    startTakeover();
+    system_.progressed({ silent_ }, clock_.now(), commands_);
+    ASSERT_TRUE(cancelled(next_));
+    pass(milliseconds(300), {});
+    system_.failed({ silent_, RelayFailure::Kind::Broken }, clock_.now(), commands_);
+    EXPECT_FALSE(broken(stream_));
+    answer(stream_);
+    end(stream_);
+    EXPECT_EQ(lastDecision("finish")["outcome"], "answered");
+    EXPECT_EQ(countUpstreams(stream_), 2U);
+}
+
+TEST_F(TakeoverTest, RequestDoesNotGoBackToUpstreamsThatFailed)
+{
+    startTakeover();
+    fail(stream_);
+    system_.failed({ silent_, RelayFailure::Kind::Broken }, clock_.now(), commands_);
+    EXPECT_TRUE(broken(stream_));
+    EXPECT_EQ(lastDecision("finish")["reason"], "no_attempts_left");
+    EXPECT_EQ(countUpstreams(stream_), 2U);
+}
+
 TEST_F(TakeoverTest, BothAttemptsEndWithTheirRequest)
 {
     startTakeover();
