Show that slow answers are restarted between upstreams that ran them before

A read (target 300 ms) whose upstreams take 1.5 s for an answer is sent four times, and no attempt is left alone for 1.5 s in 2.5 s. Cause: a takeover no longer excludes the upstream that was silent. Once the attempt there is cancelled, 250 ms after, the upstream has no request of this node, so its silence is forgotten (UpstreamLoad::silence() is 0), and its exclusion of 400 ms ends before the next takeover. Each of the three takeovers is paid from the retry budget.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -80,6 +80,8 @@
             requests.begin(), requests.end(), [this](const RequestId &request) { return broken(request); });
     }
 
+    std::map<AttemptId, TimePoint> sentAt_;
+
     long countRefused(const std::vector<RequestId> &requests) const
     {
         return std::count_if(
@@ -532,5 +534,24 @@
     EXPECT_EQ(lastDecision("notice")["upstream"], dispatches(stream_).front().upstream.text());
 }
 
+TEST_F(SilentUpstreamTest, SlowAnswersAreNotRestartedAtUpstreamsThatRanThemBefore)
+{
+    configure();
+    const RequestId read = arrive("/read/1");
+    bool isAnswered = false;
+    for (int step = 0; step < 100 && !isAnswered; ++step) {
+        pass(TickPeriod, {});
+        for (const RelayDispatch &dispatch : dispatches(read)) {
+            // Each upstream takes 1.5 s for its answer.
+            const auto [sent, isNew] = sentAt_.try_emplace(dispatch.attempt, clock_.now());
+            if (!cancelled(dispatch.attempt) && clock_.now() - sent->second >= milliseconds(1500)) {
+                isAnswered = true;
+            }
+        }
+    }
+    EXPECT_TRUE(isAnswered) << "no attempt was left alone for the 1.5 s that an answer takes";
+    EXPECT_LE(dispatches(read).size(), 2U);
+}
+
 } // namespace
 } // namespace GeraniumLever
