Show that a stream goes back while its replacement reads the prompt

A stream that is resumed is in the phase Answering from its dispatch on, so four gap targets (200 ms) count as silence although the upstream has to prefill the prompt first (target 1 s). 200 ms after the takeover the stream is sent back to the first upstream, although its attempt there is still on standby: that one is cancelled and sent again at the same upstream.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -553,5 +553,22 @@
     EXPECT_LE(dispatches(read).size(), 2U);
 }
 
+TEST_F(SilentUpstreamTest, StreamIsNotSentBackWhileItsReplacementReadsThePrompt)
+{
+    // Silence is taken for long after 200 ms; an upstream may take a second to begin.
+    configuration_.routes[1].gapTarget = milliseconds(50);
+    configuration_.routes[1].target = std::chrono::seconds(1);
+    upstreams_ = { upstreamOf("e1", "engines", 48), upstreamOf("e2", "engines", 48) };
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    const RequestId stalled = streams.at(UpstreamName("e1")).front();
+    std::vector<RequestId> goingOn = streams.at(UpstreamName("e2"));
+    goingOn.push_back(streams.at(UpstreamName("e1")).back());
+    pass(milliseconds(700), goingOn);
+    ASSERT_GE(dispatches(stalled).size(), 2U);
+    EXPECT_FALSE(cancelled(dispatches(stalled)[1].attempt)) << "500 ms after it was sent";
+    EXPECT_EQ(dispatches(stalled).size(), 2U);
+}
+
 } // namespace
 } // namespace GeraniumLever
