Show that a long answer elsewhere keeps streams at silent upstreams

One stream's upstream is silent, another upstream prepares the answer of a route whose target is 3 s, and seven are idle. The stream (gap target 200 ms) is not moved within 2 s, after which callers leave. Cause: RelayPlacement::keepResponding takes each upstream for silent that has a request of this node and has sent nothing for 400 ms, whatever its requests are expected to take, and then assumes that all upstreams are silent. A node of a large fleet has few requests, so that one long prefill, or one answer that is not streamed, suffices.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -570,5 +570,24 @@
     EXPECT_EQ(dispatches(stalled).size(), 2U);
 }
 
+TEST_F(SilentUpstreamTest, StreamLeavesASilentUpstreamWhileAnotherUpstreamPreparesALongAnswer)
+{
+    Route slow = configuration_.routes[1];
+    slow.name = "slow";
+    slow.pathPrefix = "/slow/";
+    slow.target = std::chrono::seconds(3);
+    configuration_.routes.push_back(slow);
+    configure();
+    const RequestId stream = arrive("/live/1");
+    answer(stream);
+    pass(milliseconds(100), { stream });
+    // Is expected to begin within 3 s.
+    const RequestId preparing = arrive("/slow/1");
+    ASSERT_NE(dispatches(preparing).front().upstream, dispatches(stream).front().upstream);
+    pass(milliseconds(1900), {});
+    EXPECT_EQ(dispatches(preparing).size(), 1U);
+    EXPECT_GE(dispatches(stream).size(), 2U) << "seven upstreams are idle";
+}
+
 } // namespace
 } // namespace GeraniumLever
