Show that requests that cannot move keep others at their silent upstreams

takeOverSilent tries the first six requests of silent_, in the order of their identifiers, in each pass. Ten streams can go on at one version only, whose upstream is silent; a later stream of another silent upstream is never tried, though seven upstreams of its version respond and have room. The same holds for requests that may not be retried any more, wait behind a higher tier or do not fit. silent_ also keeps entries of finished requests behind the first six.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -589,5 +589,33 @@
     EXPECT_GE(dispatches(stream).size(), 2U) << "seven upstreams are idle";
 }
 
+TEST_F(SilentUpstreamTest, RequestsThatCannotMoveDoNotKeepOthersAtTheirSilentUpstreams)
+{
+    for (UpstreamEntry &upstream : upstreams_) {
+        upstream.version = upstream.name == UpstreamName("e1") ? "old" : "new";
+    }
+    configure();
+    std::vector<RequestId> old;
+    std::vector<RequestId> begun;
+    for (const auto &[upstream, requests] : beginStreams(90)) {
+        std::vector<RequestId> &group = upstream == UpstreamName("e1") ? old : begun;
+        group.insert(group.end(), requests.begin(), requests.end());
+    }
+    ASSERT_GE(old.size(), 6U);
+    // The last one that began at another upstream, which falls silent, too.
+    const RequestId later = *std::max_element(begun.begin(), begun.end());
+    const UpstreamName silent = dispatches(later).front().upstream;
+    std::vector<RequestId> goingOn;
+    for (const RequestId &stream : begun) {
+        if (dispatches(stream).front().upstream != silent) {
+            goingOn.push_back(stream);
+        } else if (stream != later) {
+            end(stream);
+        }
+    }
+    pass(milliseconds(1800), goingOn);
+    EXPECT_GE(dispatches(later).size(), 2U) << old.size() << " streams of the old version are tried in its place";
+}
+
 } // namespace
 } // namespace GeraniumLever
