Show that a request goes back to a silent upstream that has failed

If the attempt on standby fails, its upstream is not added to failedUpstreams, which the takeover did before. The request is sent once more to the upstream that has just crashed under it.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -617,5 +617,14 @@
     EXPECT_GE(dispatches(later).size(), 2U) << old.size() << " streams of the old version are tried in its place";
 }
 
+TEST_F(TakeoverTest, RequestDoesNotGoBackToASilentUpstreamThatFailed)
+{
+    startTakeover();
+    system_.failed({ silent_, RelayFailure::Kind::Broken }, clock_.now(), commands_);
+    fail(stream_);
+    EXPECT_EQ(dispatches(stream_).size(), 2U) << "sent to an upstream at which it has failed";
+    EXPECT_EQ(lastDecision("finish")["reason"], "no_attempts_left");
+}
+
 } // namespace
 } // namespace GeraniumLever
