Show that an answer is dropped for an upstream that is still silent

The replacement answers 500. Before, the attempts were used up and the answer was forwarded. Now the request goes back to the first upstream, which has sent nothing since, and the answer that was there is dropped; the caller may get 504 at its deadline.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -626,5 +626,15 @@
     EXPECT_EQ(lastDecision("finish")["reason"], "no_attempts_left");
 }
 
+TEST_F(ReadTakeoverTest, AnswerOfAReplacementIsNotDroppedForAnUpstreamThatIsStillSilent)
+{
+    startTakeover();
+    pass(milliseconds(500), {});
+    ASSERT_TRUE(cancelled(silent_));
+    answerAttempt(next_, 500, false);
+    EXPECT_EQ(dispatches(read_).size(), 2U) << "sent back to the silent upstream";
+    EXPECT_FALSE(cancelled(next_));
+}
+
 } // namespace
 } // namespace GeraniumLever
