Show that a broken stream goes back to a silent upstream beside idle ones

retry_rules.cpp says that a request goes back to an upstream only if no other is allowed. Nothing sees to it: as soon as the exclusion of 400 ms has ended, the silent upstream is selected again, here because it is the preferred one for the prompt.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -636,5 +636,22 @@
     EXPECT_FALSE(cancelled(next_));
 }
 
+TEST_F(SilentUpstreamTest, BrokenStreamOfARouteWithThreeUpstreamsGoesToOneThatHasNotBeenSilent)
+{
+    configuration_.routes[1].maxAttempts = 3;
+    configure();
+    PromptInfo prompt;
+    prompt.parts = { { 7, 100 }, { 8, 10 } };
+    prompt.promptTokens = 110;
+    const RequestId stream = arrive("/live/1", "key-one", prompt);
+    answer(stream);
+    pass(milliseconds(1300), {});
+    ASSERT_EQ(dispatches(stream).size(), 2U);
+    ASSERT_TRUE(cancelled(dispatches(stream).front().attempt));
+    fail(stream);
+    ASSERT_EQ(dispatches(stream).size(), 3U);
+    EXPECT_NE(dispatches(stream)[2].upstream, dispatches(stream)[0].upstream) << "seven others are idle";
+}
+
 } // namespace
 } // namespace GeraniumLever
