--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -653,5 +653,32 @@
     EXPECT_NE(dispatches(stream)[2].upstream, dispatches(stream)[0].upstream) << "seven others are idle";
 }
 
+TEST_F(SilentUpstreamTest, FreeRoomGoesToTheSilentRequestOfTheHighestTier)
+{
+    Route low = configuration_.routes[1];
+    low.name = "low";
+    low.pathPrefix = "/low/";
+    low.tier = 2;
+    configuration_.routes.push_back(low);
+    upstreams_ = { upstreamOf("e1", "engines", 1), upstreamOf("e2", "engines", 1) };
+    configure();
+    std::map<UpstreamName, std::vector<RequestId>> streams;
+    for (const std::string path : { "/low/1", "/low/1", "/live/1", "/live/1" }) {
+        const RequestId stream = arrive(path);
+        answer(stream);
+        streams[dispatches(stream).front().upstream].push_back(stream);
+    }
+    const std::vector<RequestId> silent = streams.at(UpstreamName("e1"));
+    std::vector<RequestId> goingOn = streams.at(UpstreamName("e2"));
+    ASSERT_EQ(silent.size(), 2U);
+    ASSERT_GT(dispatches(silent.front()).front().tier, dispatches(silent.back()).front().tier);
+    pass(milliseconds(900), goingOn);
+    end(goingOn.back());
+    goingOn.pop_back();
+    pass(milliseconds(100), goingOn);
+    EXPECT_EQ(dispatches(silent.back()).size(), 2U);
+    EXPECT_EQ(dispatches(silent.front()).size(), 1U);
+}
+
 } // namespace
 } // namespace GeraniumLever
