Show that takeovers spend the budget that a crash then lacks

Two of nine upstreams are silent for 1.2 s. Takeovers of their streams spend the whole budget, and all that comes back; a stream whose upstream crashes then is cut: reason=no_retry_budget. A silent attempt can still go on, a broken one cannot.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -680,5 +680,20 @@
     EXPECT_EQ(dispatches(silent.front()).size(), 1U);
 }
 
+TEST_F(SilentUpstreamTest, StreamOfACrashedUpstreamIsNotCutBecauseTakeoversSpentTheBudget)
+{
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(90);
+    std::vector<RequestId> goingOn;
+    for (const auto &[upstream, requests] : streams) {
+        if (upstream != UpstreamName("e1") && upstream != UpstreamName("e2")) {
+            goingOn.insert(goingOn.end(), requests.begin(), requests.end());
+        }
+    }
+    pass(milliseconds(1200), goingOn);
+    fail(goingOn.back());
+    EXPECT_FALSE(broken(goingOn.back())) << lastDecision("finish")["reason"];
+}
+
 } // namespace
 } // namespace GeraniumLever
