Show that a broken stream is cut long before its caller leaves

ResumeTimeout is 900 ms whatever the route's gap target. With a gap target of 1 s callers wait for 8 s; the stream is cut after 0.9 s although room becomes free after 1.2 s.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -695,5 +695,23 @@
     EXPECT_FALSE(broken(goingOn.back())) << lastDecision("finish")["reason"];
 }
 
+TEST_F(SilentUpstreamTest, BrokenStreamIsNotCutWhileItsCallerStillWaits)
+{
+    // Callers wait for eight gap targets.
+    configuration_.routes[1].gapTarget = std::chrono::seconds(1);
+    upstreams_ = { upstreamOf("e1", "engines", 1), upstreamOf("e2", "engines", 1) };
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    const RequestId stream = streams.at(UpstreamName("e1")).front();
+    std::vector<RequestId> goingOn = streams.at(UpstreamName("e2"));
+    fail(stream);
+    pass(milliseconds(1200), goingOn);
+    EXPECT_FALSE(broken(stream)) << lastDecision("finish")["reason"];
+    end(goingOn.back());
+    goingOn.pop_back();
+    pass(milliseconds(100), goingOn);
+    EXPECT_EQ(dispatches(stream).size(), 2U);
+}
+
 } // namespace
 } // namespace GeraniumLever
