Do not send a request back to a silent upstream that has failed

The attempt on standby that fails adds its upstream to failedUpstreams, as that of the current one does.

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -515,11 +515,11 @@
     }
     const QueueKey queueKey = row->queueKey;
     noteFailure(*row, failure, now);
+    row->failedUpstreams.insert(row->upstreamOf(failure.attempt).name);
     if (row->isOnStandby(failure.attempt)) {
         attempts_.endStandby(*row);
         return;
     }
-    row->failedUpstreams.insert(row->upstream.name);
     if (failure.kind == RelayFailure::Kind::NotConnected) {
         attempts_.endUnsent(*row);
         retry(*row, ResultCode::UpstreamRefused, now, commands);
