Show that silent streams stay beside idle upstreams if those that respond are full

RelayPlacement::keepResponding drops all upstreams that have not responded lately as soon as one has. Only afterwards choose() drops those without room, so that nothing is left: the stream stays at its silent upstream for 1.8 s beside a new upstream with 48 free seats.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -713,5 +713,18 @@
     EXPECT_EQ(dispatches(stream).size(), 2U);
 }
 
+TEST_F(SilentUpstreamTest, SilentStreamMovesToAnIdleUpstreamWhenThoseThatRespondAreFull)
+{
+    upstreams_ = { upstreamOf("e1", "engines", 1), upstreamOf("e2", "engines", 1) };
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(4);
+    const std::vector<RequestId> &goingOn = streams.at(UpstreamName("e2"));
+    const RequestId silent = streams.at(UpstreamName("e1")).front();
+    upstreams_.push_back(upstreamOf("e3", "engines", 48));
+    readStore();
+    pass(milliseconds(1800), goingOn);
+    EXPECT_GE(dispatches(silent).size(), 2U) << "e3 is idle and has 48 seats";
+}
+
 } // namespace
 } // namespace GeraniumLever
