Show that silent streams stay beside idle upstreams if another version responds

As before, but the upstream that responds has another version than the stream: keepResponding does not look at the version.

--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -726,5 +726,21 @@
     EXPECT_GE(dispatches(silent).size(), 2U) << "e3 is idle and has 48 seats";
 }
 
+TEST_F(SilentUpstreamTest, SilentStreamMovesToAnIdleUpstreamOfItsVersionWhileAnotherVersionResponds)
+{
+    upstreams_ = { upstreamOf("e1", "engines", 48), upstreamOf("e2", "engines", 48) };
+    upstreams_.front().version = "old";
+    upstreams_.back().version = "new";
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(2);
+    ASSERT_EQ(streams.size(), 2U);
+    const RequestId silent = streams.at(UpstreamName("e1")).front();
+    upstreams_.push_back(upstreamOf("e3", "engines", 48));
+    upstreams_.back().version = "old";
+    readStore();
+    pass(milliseconds(1800), streams.at(UpstreamName("e2")));
+    EXPECT_GE(dispatches(silent).size(), 2U) << "e3 is idle and has the stream's version";
+}
+
 } // namespace
 } // namespace GeraniumLever
