Let only upstreams that can take a silent request keep it from idle ones

An idle upstream is passed over only if one that has responded has the request's version and room, and is not excluded.

--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -199,18 +199,20 @@
 
 void RelayPlacement::keepResponding(std::vector<Candidate> &candidates)
 {
-    const auto isAny = [&candidates](bool Candidate::*property) {
-        return std::any_of(candidates.begin(), candidates.end(), [property](const Candidate &candidate) {
-            return candidate.*property;
-        });
-    };
-    const bool anyResponded = isAny(&Candidate::hasResponded);
+    const auto hasResponded = [](const Candidate &candidate) { return candidate.hasResponded; };
+    const auto isSilent = [](const Candidate &candidate) { return candidate.isSilent; };
     // If all that should have responded are silent, the others probably are, too.
-    const bool isCommonSilence = !anyResponded && isAny(&Candidate::isSilent);
-    std::erase_if(candidates, [anyResponded, isCommonSilence](const Candidate &candidate) {
-        return isCommonSilence || candidate.isSuspect || candidate.isSilent
-            || (anyResponded && !candidate.hasResponded);
+    const bool isCommonSilence = std::none_of(candidates.begin(), candidates.end(), hasResponded)
+        && std::any_of(candidates.begin(), candidates.end(), isSilent);
+    std::erase_if(candidates, [isCommonSilence](const Candidate &candidate) {
+        return isCommonSilence || candidate.isSuspect || candidate.isSilent;
     });
+    const bool canUseResponding = std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
+        return candidate.hasResponded && candidate.isAllowed && candidate.hasRoom;
+    });
+    if (canUseResponding) {
+        std::erase_if(candidates, [](const Candidate &candidate) { return !candidate.hasResponded; });
+    }
 }
 
 const PoolNote *RelayPlacement::requiredNote(const UpstreamDirectory &directory, const PlacementQuery &query) const
