Take silent requests over only at upstreams that they were not sent to

A takeover is made on a suspicion, so it selects no upstream that the request has been sent to; only a retry after a failure does. An answer of an upstream that failed is dropped only if the request can be sent to an upstream that it was not sent to.

--- a/servers/relay/placement_query.cpp
+++ b/servers/relay/placement_query.cpp
@@ -29,4 +29,13 @@
     return query;
 }
 
+PlacementQuery newUpstreamQueryOf(const RelayRow &row)
+{
+    PlacementQuery query = placementQueryOf(row);
+    for (const auto &[upstream, attempts] : row.attemptsByUpstream) {
+        query.excluded.insert(upstream);
+    }
+    return query;
+}
+
 } // namespace GeraniumLever
--- a/servers/relay/placement_query.h
+++ b/servers/relay/placement_query.h
@@ -45,4 +45,7 @@
 
 PlacementQuery placementQueryOf(const RelayRow &row);
 
+/** As placementQueryOf(), but without the upstreams that the request has been sent to. */
+PlacementQuery newUpstreamQueryOf(const RelayRow &row);
+
 } // namespace GeraniumLever
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -445,7 +445,7 @@
     if (head.status >= HttpServerError || (row->firstByte.has_value() && !continues)) {
         load.noteFailed(now);
         row->failedUpstreams.insert(row->upstream.name);
-        const bool hasOther = placement_.hasUpstream(fleet_.directory(), placementQueryOf(*row));
+        const bool hasOther = placement_.hasUpstream(fleet_.directory(), newUpstreamQueryOf(*row));
         if (row->firstByte.has_value() || row->standby.has_value() || (hasOther && mayRetry(*row, now))) {
             row->mayHaveRun = true;
             attempts_.cancel(*row, commands);
@@ -729,8 +729,7 @@
     if (isPreceded || obstacleOf(row, now).has_value() || !mayRetry(row, now)) {
         return;
     }
-    PlacementQuery query = placementQueryOf(row);
-    query.excluded.insert(row.upstream.name);
+    PlacementQuery query = newUpstreamQueryOf(row);
     query.maxSilence = silenceLimitOf(row) / 2;
     if (!limits_.admits(row, query, now)) {
         return;
