Go back to an upstream only if the route allows no further one

What callers saw: nothing; found by the review. With three allowed upstreams, a stream that broke after a takeover went back to the upstream that had been silent, beside seven idle ones, as soon as the exclusion of 400 ms had ended.

Cause: an upstream that the request had been sent to was a candidate like any other unless it had failed.

Change: such an upstream is a candidate only if the request has been at as many as its route allows.

--- a/servers/relay/placement_query.cpp
+++ b/servers/relay/placement_query.cpp
@@ -20,11 +20,11 @@
     query.version = row.streamVersion;
     query.needsNotedVersion = row.beginsResumableStream();
     query.excluded = row.failedUpstreams;
-    if (row.attemptsByUpstream.size() >= row.route->maxAttempts) {
-        query.allowed.emplace();
-        for (const auto &[upstream, attempts] : row.attemptsByUpstream) {
-            query.allowed->insert(upstream);
-        }
+    // A request goes back to an upstream only if its route allows no further one.
+    std::set<UpstreamName> &tried =
+        row.attemptsByUpstream.size() >= row.route->maxAttempts ? query.allowed.emplace() : query.excluded;
+    for (const auto &[upstream, attempts] : row.attemptsByUpstream) {
+        tried.insert(upstream);
     }
     return query;
 }
