Do not move streams while most of their upstreams are silent for a moment

What callers saw: streams cut in the middle.

Cause: their finish lines say reason=no_retry_budget, not no_attempts_left as was suspected. The takeovers of the silent streams (30) spend the budget that the streams of the crashed upstreams need. That each of many sound upstreams fails at the same moment is unlikely, that they share a pause is not.

Change: for 1.5 s of its silence, a stream that has begun is not moved if not more upstreams have responded than are silent beside its own. After that, and while callers still wait, it is moved to one that responds, whatever the others do; the same bound now holds for the rule that nothing moves if none has responded, which kept a stream at a dead upstream for good while another one prepared a long answer.

--- a/servers/relay/placement_query.cpp
+++ b/servers/relay/placement_query.cpp
@@ -1,6 +1,7 @@
 #include "servers/relay/placement_query.h"
 
 #include "servers/relay/engine_partitioner.h"
+#include "servers/relay/retry_rules.h"
 
 namespace GeraniumLever {
 
@@ -38,4 +39,15 @@
     return query;
 }
 
+PlacementQuery takeoverQueryOf(const RelayRow &row, TimePoint now)
+{
+    PlacementQuery query = newUpstreamQueryOf(row);
+    query.maxSilence = silenceLimitOf(row) / 2;
+    if (now - row.progressAt < CommonSilenceTime) {
+        // A request that has not begun is not cut, and may have little time.
+        query.commonSilence = row.firstByte.has_value() ? CommonSilence::OfMost : CommonSilence::OfAll;
+    }
+    return query;
+}
+
 } // namespace GeraniumLever
--- a/servers/relay/placement_query.h
+++ b/servers/relay/placement_query.h
@@ -8,6 +8,15 @@
 
 namespace GeraniumLever {
 
+/** When the silence of several upstreams is taken for one that they share, and that will soon end for all. */
+enum class CommonSilence : std::uint8_t {
+    Never,
+    /** If none has responded. */
+    OfAll,
+    /** If not more have responded than are silent. */
+    OfMost,
+};
+
 /** Inputs of the selection. */
 struct PlacementQuery
 {
@@ -32,8 +41,10 @@
     /** If set, only one of these upstreams may be selected, because the request may go to no further one. */
     std::optional<std::set<UpstreamName>> allowed;
     /** If set, only an upstream will do that has not failed recently and has responded within this time. One without
-     *  requests of this node will do if none has, and none is silent for longer. */
+     *  requests of this node will do if none of these can serve the request. */
     std::optional<Duration> maxSilence;
+    /** During a common silence, none will do. */
+    CommonSilence commonSilence = CommonSilence::Never;
 
     bool accepts(const std::string &upstreamVersion) const
     {
@@ -45,6 +56,9 @@
 
 PlacementQuery placementQueryOf(const RelayRow &row);
 
+/** For the replacement of a silent attempt. */
+PlacementQuery takeoverQueryOf(const RelayRow &row, TimePoint now);
+
 /** As placementQueryOf(), but without the upstreams that the request has been sent to. */
 PlacementQuery newUpstreamQueryOf(const RelayRow &row);
 
--- a/servers/relay/relay_placement.cpp
+++ b/servers/relay/relay_placement.cpp
@@ -190,23 +190,26 @@
         result.push_back(candidate);
     }
     if (query.maxSilence.has_value()) {
-        keepResponding(result);
+        keepResponding(result, query.commonSilence);
     } else if (anyHealthy) {
         std::erase_if(result, [](const Candidate &candidate) { return candidate.isSuspect; });
     }
     return result;
 }
 
-void RelayPlacement::keepResponding(std::vector<Candidate> &candidates)
+void RelayPlacement::keepResponding(std::vector<Candidate> &candidates, CommonSilence commonSilence)
 {
-    const auto hasResponded = [](const Candidate &candidate) { return candidate.hasResponded; };
-    const auto isSilent = [](const Candidate &candidate) { return candidate.isSilent; };
-    // If all that should have responded are silent, the others probably are, too.
-    const bool isCommonSilence = std::none_of(candidates.begin(), candidates.end(), hasResponded)
-        && std::any_of(candidates.begin(), candidates.end(), isSilent);
-    std::erase_if(candidates, [isCommonSilence](const Candidate &candidate) {
-        return isCommonSilence || candidate.isSuspect || candidate.isSilent;
-    });
+    const auto responded = std::count_if(
+        candidates.begin(), candidates.end(), [](const Candidate &candidate) { return candidate.hasResponded; });
+    const auto silent = std::count_if(
+        candidates.begin(), candidates.end(), [](const Candidate &candidate) { return candidate.isSilent; });
+    const bool isOfAll = silent > 0 && responded == 0;
+    const bool isOfMost = silent > 0 && responded <= silent;
+    if (commonSilence == CommonSilence::OfMost ? isOfMost : commonSilence == CommonSilence::OfAll && isOfAll) {
+        candidates.clear();
+        return;
+    }
+    std::erase_if(candidates, [](const Candidate &candidate) { return candidate.isSuspect || candidate.isSilent; });
     const bool canUseResponding = std::any_of(candidates.begin(), candidates.end(), [](const Candidate &candidate) {
         return candidate.hasResponded && candidate.isAllowed && candidate.hasRoom;
     });
--- a/servers/relay/relay_placement.h
+++ b/servers/relay/relay_placement.h
@@ -117,7 +117,7 @@
                                       const PlacementQuery &query,
                                       TimePoint now) const;
     /** Keeps the upstreams that can be trusted to respond. */
-    static void keepResponding(std::vector<Candidate> &candidates);
+    static void keepResponding(std::vector<Candidate> &candidates, CommonSilence commonSilence);
     const UpstreamLoad *find(const UpstreamName &name) const;
     bool mayServe(const UpstreamEntry &entry, const PlacementQuery &query) const;
     /** The note that the upstream's version must be in; nullptr if any version will do. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -729,8 +729,7 @@
     if (isPreceded || obstacleOf(row, now).has_value() || !mayRetry(row, now)) {
         return;
     }
-    PlacementQuery query = newUpstreamQueryOf(row);
-    query.maxSilence = silenceLimitOf(row) / 2;
+    const PlacementQuery query = takeoverQueryOf(row, now);
     if (!limits_.admits(row, query, now)) {
         return;
     }
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -11,6 +11,9 @@
  *  reached, shows it sooner; in more time, both might do the work. */
 constexpr Duration StandbyTime = std::chrono::milliseconds(250);
 
+/** Time for which even sound upstreams may be silent before they go on. */
+constexpr Duration CommonSilenceTime = std::chrono::milliseconds(1500);
+
 /** False if the request needs no check of its deadline, its wait or its upstream's silence now. */
 bool mayBeDue(const RelayRow &row, TimePoint now);
 
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -159,6 +159,62 @@
     EXPECT_EQ(countBroken(silent), 0);
 }
 
+/** Most upstreams are silent for a while. */
+class MajoritySilenceTest : public SilentUpstreamTest
+{
+protected:
+    /** Six of nine upstreams are silent. */
+    void passWithSilentMajority(Duration silence)
+    {
+        std::vector<RequestId> goingOn;
+        for (int number = 7; number <= 9; ++number) {
+            const std::vector<RequestId> &streams = streams_.at(UpstreamName("e" + std::to_string(number)));
+            goingOn.insert(goingOn.end(), streams.begin(), streams.end());
+        }
+        pass(silence, goingOn);
+    }
+
+    long countMoved() const
+    {
+        long moved = 0;
+        for (const auto &[upstream, requests] : streams_) {
+            for (const RequestId &stream : requests) {
+                moved += dispatches(stream).size() > 1 ? 1 : 0;
+            }
+        }
+        return moved;
+    }
+
+    std::map<UpstreamName, std::vector<RequestId>> streams_;
+};
+
+TEST_F(MajoritySilenceTest, SilenceOfMostUpstreamsDoesNotSpendTheRetriesThatACrashNeedsAMomentLater)
+{
+    configure();
+    streams_ = beginStreams(45);
+    ASSERT_EQ(streams_.size(), 9U);
+    passWithSilentMajority(milliseconds(1200));
+    for (const auto &[upstream, requests] : streams_) {
+        for (const RequestId &stream : requests) {
+            system_.progressed({ dispatches(stream).back().attempt }, clock_.now(), commands_);
+        }
+    }
+    pass(milliseconds(300), {});
+    for (const RequestId &stream : streams_.at(UpstreamName("e1"))) {
+        fail(stream);
+    }
+    EXPECT_EQ(countBroken(streams_.at(UpstreamName("e1"))), 0);
+}
+
+TEST_F(MajoritySilenceTest, StreamsMoveWhenMostUpstreamsStaySilent)
+{
+    configure();
+    streams_ = beginStreams(90);
+    ASSERT_EQ(streams_.size(), 9U);
+    passWithSilentMajority(milliseconds(1700));
+    EXPECT_GE(countMoved(), 10);
+}
+
 class PausedNodeTest : public SilentUpstreamTest
 {
 protected:
