Keep a quarter of the retry budget for requests that have failed

What callers saw: two of nine upstreams are silent for 1.2 s; a stream whose upstream crashes then is cut (reason=no_retry_budget).

Cause: takeovers of silent requests may spend the whole budget, and all that comes back. A silent attempt can still go on, a broken one cannot.

Change: a takeover must leave a quarter of the retries that the window allows, rounded down.

Result: StreamOfACrashedUpstreamIsNotCutBecauseTakeoversSpentTheBudget failed before and passes. A third was tried: with an allowance of three retries it kept a node from its second takeover (StreamIsNotCutWhenTheUpstreamThatShouldTakeItOverFails failed).

--- a/servers/relay/relay_retry_budget.cpp
+++ b/servers/relay/relay_retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "servers/relay/relay_retry_budget.h"
 
+#include <cmath>
+
 namespace GeraniumLever {
 
 namespace {
@@ -7,6 +9,8 @@
 /** Share of the ratio that is used; the rest covers requests that are counted in a different window than their
  *  retry. */
 constexpr double UsableRatioShare = 0.75;
+/** Share of the window's retries that is kept for requests that have failed. */
+constexpr double ReservedShare = 0.25;
 /** The slack is divided among the known nodes plus a margin for nodes that are added later. */
 constexpr double SpareNodes = 4.0;
 constexpr double SpareShareOfNodes = 0.4;
@@ -34,11 +38,21 @@
     return true;
 }
 
+bool RelayRetryBudget::canSpare(TimePoint now)
+{
+    return available(now) >= 1.0 + std::floor(ReservedShare * total());
+}
+
 double RelayRetryBudget::available(TimePoint now)
 {
     dropExpired(now);
+    return total() - static_cast<double>(retries_.size());
+}
+
+double RelayRetryBudget::total() const
+{
     const double earned = UsableRatioShare * allowance_.ratio * static_cast<double>(requests_.size());
-    return earned + allowance_.slack * slackShare_ - static_cast<double>(retries_.size());
+    return earned + allowance_.slack * slackShare_;
 }
 
 void RelayRetryBudget::dropExpired(TimePoint now)
--- a/servers/relay/relay_retry_budget.h
+++ b/servers/relay/relay_retry_budget.h
@@ -39,6 +39,9 @@
     /** Charges one retry to the budget; returns false if none may be sent now. */
     bool spend(TimePoint now);
 
+    /** True if a retry would leave enough for requests that have failed, which cannot wait. */
+    bool canSpare(TimePoint now);
+
     /** Retries that may be sent now. */
     double available(TimePoint now);
 
@@ -47,6 +50,8 @@
     static constexpr double AssumedNodes = 100.0;
 
     void dropExpired(TimePoint now);
+    /** Retries that the current window allows altogether. */
+    double total() const;
 
     RetryAllowance allowance_;
     double slackShare_ = 1.0 / AssumedNodes;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -726,7 +726,8 @@
 void RelaySystem::takeOver(RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     const bool isPreceded = row.tier > 0 && queues_[row.queueKey].maxAhead(row.tier - 1) > 0;
-    if (isPreceded || obstacleOf(row, now).has_value() || !mayRetry(row, now)) {
+    const bool isPaidFor = budgets_.of(row.pool).canSpare(now);
+    if (isPreceded || !isPaidFor || obstacleOf(row, now).has_value() || !mayRetry(row, now)) {
         return;
     }
     const PlacementQuery query = takeoverQueryOf(row, now);
