Search for another upstream as long as the caller of a broken stream waits

What callers saw: a broken stream was cut after 0.9 s without room elsewhere, although callers wait for an event for two seconds, four times the target or eight times the gap target, whichever is longest: 8 s for a route with a gap target of 1 s.

Cause: the time in which a broken stream must be resumed was fixed for the shortest of these.

Change: it is 0.45 of the time that the callers of its route wait; 0.9 s remains the least.

--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -16,9 +16,6 @@
 /** Share of the target for which a request may wait for capacity; after a longer wait it would hardly be answered in
  *  time. */
 constexpr double MaxWaitShareOfTarget = 0.25;
-/** Time in which a broken stream must be resumed, or it is given up: callers disconnect after about two seconds without
- *  an event. */
-constexpr Duration ResumeTimeout = std::chrono::milliseconds(900);
 /** Maximum number of requests that may wait in one queue at one node. */
 constexpr std::size_t MaxWaiting = 400;
 /** Number of waiting requests that are tried per pass, so that one that waits for certain engines does not block those
@@ -262,7 +259,7 @@
         return;
     }
     const Duration maxWait = row.firstByte.has_value()
-        ? ResumeTimeout
+        ? resumeTimeoutOf(row)
         : std::chrono::duration_cast<Duration>(row.route->target * MaxWaitShareOfTarget);
     const std::size_t ahead = queue.estimateAhead(row.tier, row.team);
     if (ahead > 0 && retryAfterEstimatorOf(row).expectedWait(ahead) > maxWait) {
--- a/servers/relay/retry_rules.cpp
+++ b/servers/relay/retry_rules.cpp
@@ -18,6 +18,12 @@
 constexpr Duration MinFirstByteTimeout = std::chrono::milliseconds(500);
 /** Gap targets between two parts of the response. */
 constexpr int StallTimeoutGaps = 4;
+/** Time without an event after which callers leave, whichever is longest: a fixed one, and multiples of the targets. */
+constexpr Duration MinCallerPatience = std::chrono::seconds(2);
+constexpr int PatienceTargets = 4;
+constexpr int PatienceGaps = 8;
+/** Share of that time that is left for the search of another upstream. */
+constexpr double ResumeShareOfPatience = 0.45;
 
 /** False if the request has been sent to as many upstreams as its route allows, and cannot go back to any of them. */
 bool mayUseUpstream(const RelayRow &row)
@@ -60,6 +66,14 @@
     return std::nullopt;
 }
 
+Duration resumeTimeoutOf(const RelayRow &row)
+{
+    const Duration patience = std::max({ MinCallerPatience,
+                                         Duration(row.route->target * PatienceTargets),
+                                         Duration(row.route->gapTarget.value_or(Duration(0)) * PatienceGaps) });
+    return std::chrono::duration_cast<Duration>(patience * ResumeShareOfPatience);
+}
+
 Duration silenceLimitOf(const RelayRow &row)
 {
     if (row.phase == RelayPhase::Answering) {
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -20,6 +20,9 @@
 /** Why the request may not be sent again; absent if it may. */
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now);
 
+/** Time in which a broken stream must be resumed, or it is given up, since its caller will soon leave. */
+Duration resumeTimeoutOf(const RelayRow &row);
+
 /** Time without any part of the response after which another upstream should take the request over. */
 Duration silenceLimitOf(const RelayRow &row);
 
