Pause reading at every attempt of a request whose caller does not read

What callers saw: a caller that paused for 1.3 s inside a long resumable stream was cut. Its upstream looked silent after four gap targets, the upstream that should have taken the stream over turned it away, and the stream went back to the first attempt, which was never read again.

Cause: the node remembered one attempt per request and told only that one to pause or resume reading. After the failed takeover it told the attempt that had ended. A replacement, on the other hand, was not paused at all, so that its whole response was buffered for a caller that read nothing.

Change: RelaySystem::callerBacklogged tells the relay logic, which pauses or resumes the current attempt and the one on standby (RelaySetReading), and begins further attempts paused while the caller has not caught up.

--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -87,6 +87,7 @@
     , codec_(codec)
     , observer_(observer)
     , timer_(context)
+    , readEnabled_(!dispatch_.readPaused)
 {
     resetParser();
 }
@@ -123,7 +124,7 @@
 void RelayExchange::setReading(bool enabled)
 {
     readEnabled_ = enabled;
-    if (enabled && connection_ != nullptr && !finished_) {
+    if (enabled && connection_ != nullptr && !connecting_ && !finished_) {
         read();
     }
 }
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -112,7 +112,7 @@
     std::size_t skippedBytes_ = 0;
     bool writing_ = false;
     bool readPending_ = false;
-    bool readEnabled_ = true;
+    bool readEnabled_;
     bool finished_ = false;
 };
 
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -62,7 +62,6 @@
     struct OpenCall
     {
         RelayCallPtr call;
-        AttemptId attempt;
         /** Identifier of the last event that was forwarded to the caller. */
         std::string lastEventId;
         bool responseStarted = false;
@@ -123,7 +122,7 @@
 
     void callArrived(RelayCallPtr call) override
     {
-        calls.emplace(call->attributes.request, OpenCall { call, {}, {}, false });
+        calls.emplace(call->attributes.request, OpenCall { call, {}, false });
         perform([&](RelayCommands &commands) { system.arrived(call->attributes, clock.now(), commands); });
         startBusyTimer();
     }
@@ -135,10 +134,7 @@
 
     void callerBacklog(const RequestId &request, bool backlogged) override
     {
-        const auto found = calls.find(request);
-        if (found != calls.end()) {
-            upstreamClient.setReading(found->second.attempt, !backlogged);
-        }
+        perform([&](RelayCommands &commands) { system.callerBacklogged(request, backlogged, commands); });
     }
 
     void inputRejected(const Error &error) override
@@ -176,7 +172,6 @@
             found->second.lastEventId = lastEventId;
         }
         const RequestId id = request->second;
-        found->second.attempt = attempt;
         RelayCommands news;
         system.progressed({ attempt }, clock.now(), news);
         if (!news.empty()) {
@@ -302,7 +297,6 @@
             return;
         }
         requestsByAttempt[command.attempt] = command.request;
-        found->second.attempt = command.attempt;
         upstreamClient.dispatch(command, found->second.call, found->second.lastEventId);
     }
 
@@ -326,6 +320,8 @@
         requestsByAttempt.erase(command.attempt);
     }
 
+    void run(const RelaySetReading &command) { upstreamClient.setReading(command.attempt, command.enabled); }
+
     void run(const RelayProbe &command)
     {
         upstreamClient.probe(command, [this](const RelayProbeResult &result) {
--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -8,6 +8,26 @@
 
 namespace GeraniumLever {
 
+RelayDispatch dispatchOf(const RelayRow &row, TimePoint now)
+{
+    RelayDispatch command;
+    command.request = row.request.request;
+    command.attempt = row.attempt;
+    command.upstream = row.upstream.name;
+    command.address = row.upstream.address;
+    command.team = row.team;
+    command.timeLeft = row.deadline - now;
+    command.tier = row.tier;
+    command.tierCount = row.table->tierCount();
+    command.engine = row.traits != nullptr && row.traits->engines;
+    command.streamed = row.route->streamed;
+    command.resumable = row.route->resumable;
+    command.resumes = row.phase == RelayPhase::Answering;
+    command.freshConnection = !row.isRetryable();
+    command.readPaused = row.callerBacklogged;
+    return command;
+}
+
 void RelayAttempts::start(RelayRow &row, const Placement &placement, TimePoint now)
 {
     row.attempt = AttemptId(origin_, ++lastSequence_);
@@ -107,6 +127,17 @@
     }
 }
 
+void RelayAttempts::setCallerBacklogged(RelayRow &row, bool backlogged, RelayCommands &commands)
+{
+    row.callerBacklogged = backlogged;
+    if (row.attempt != AttemptId()) {
+        commands.emplace_back(RelaySetReading { row.attempt, !backlogged });
+    }
+    if (row.standby.has_value()) {
+        commands.emplace_back(RelaySetReading { row.standby->attempt, !backlogged });
+    }
+}
+
 std::optional<RequestId> RelayAttempts::requestOf(const AttemptId &attempt) const
 {
     const auto found = requests_.find(attempt);
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -9,6 +9,9 @@
 
 namespace GeraniumLever {
 
+/** The command that sends the row's request to the upstream of its attempt. */
+RelayDispatch dispatchOf(const RelayRow &row, TimePoint now);
+
 /** Knows the request of each attempt, and accounts for the load that the attempts put on their upstreams. */
 class RelayAttempts
 {
@@ -43,6 +46,9 @@
     /** Ends the attempt on standby if there is one, and cancels it at its upstream. */
     void cancelStandby(RelayRow &row, RelayCommands &commands);
 
+    /** Pauses or resumes reading all of the row's attempts, including those that start later. */
+    static void setCallerBacklogged(RelayRow &row, bool backlogged, RelayCommands &commands);
+
     /** Absent if the attempt has ended. */
     std::optional<RequestId> requestOf(const AttemptId &attempt) const;
 
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -175,6 +175,8 @@
     bool resumes = false;
     /** True if no pooled connection may be used. */
     bool freshConnection = false;
+    /** True if the response must not be read until RelaySetReading allows it. */
+    bool readPaused = false;
 
     auto operator<=>(const RelayDispatch &) const = default;
 };
@@ -195,6 +197,15 @@
     auto operator<=>(const RelayCancel &) const = default;
 };
 
+/** Pauses or resumes reading an attempt's response. */
+struct RelaySetReading
+{
+    AttemptId attempt;
+    bool enabled = true;
+
+    auto operator<=>(const RelaySetReading &) const = default;
+};
+
 /** Opens a connection to an upstream to check whether it is reachable; answered by RelayProbeResult. */
 struct RelayProbe
 {
@@ -247,6 +258,7 @@
 using RelayCommand = std::variant<RelayDispatch,
                                   RelayForward,
                                   RelayCancel,
+                                  RelaySetReading,
                                   RelayProbe,
                                   RelayRefusal,
                                   RelayAbort,
--- a/servers/relay/relay_row.h
+++ b/servers/relay/relay_row.h
@@ -108,6 +108,8 @@
     bool mayHaveRun = false;
     /** The caller has disconnected; the response is discarded. */
     bool callerGone = false;
+    /** The caller has not read enough of the response; no attempt's response is read. */
+    bool callerBacklogged = false;
     /** Why the last attempt failed. */
     ResultCode lastFailure = ResultCode::Ok;
     /** Absent unless the request is given up. */
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -171,6 +171,14 @@
     serveQueue(queueKey, now, commands);
 }
 
+void RelaySystem::callerBacklogged(const RequestId &request, bool backlogged, RelayCommands &commands)
+{
+    RelayRow *row = rows_.edit(request);
+    if (row != nullptr) {
+        RelayAttempts::setCallerBacklogged(*row, backlogged, commands);
+    }
+}
+
 std::optional<GiveUpReason> RelaySystem::obstacleOf(const RelayRow &row, TimePoint now) const
 {
     if (quarantine_.blockedFor(row.request.prompt, now) > Duration(0)) {
@@ -225,21 +233,7 @@
     limits_.requestSent(row, now);
 
     commands.emplace_back(recordDispatch(row, placement, now));
-    RelayDispatch command;
-    command.request = row.request.request;
-    command.attempt = row.attempt;
-    command.upstream = placement.upstream.name;
-    command.address = placement.upstream.address;
-    command.team = row.team;
-    command.timeLeft = row.deadline - now;
-    command.tier = row.tier;
-    command.tierCount = row.table->tierCount();
-    command.engine = row.traits != nullptr && row.traits->engines;
-    command.streamed = row.route->streamed;
-    command.resumable = row.route->resumable;
-    command.resumes = resumes;
-    command.freshConnection = !row.isRetryable();
-    commands.emplace_back(std::move(command));
+    commands.emplace_back(dispatchOf(row, now));
 }
 
 void RelaySystem::enqueue(RelayRow &row, TimePoint now, RelayCommands &commands)
--- a/tests/drivers/relay/relay_client_test.cpp
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -22,9 +22,10 @@
     void exchangeEnded(const AttemptId &) override { ++ended_; }
     void exchangeFailed(const RelayFailure &failure) override { failures_.push_back(failure.kind); }
 
-    void dispatch()
+    void dispatch(bool readPaused = false)
     {
         RelayDispatch dispatch;
+        dispatch.readPaused = readPaused;
         dispatch.attempt = AttemptId(1, ++lastAttempt_);
         dispatch.address = listener_.address();
         dispatch.freshConnection = true;
@@ -79,6 +80,30 @@
     EXPECT_FALSE(listener_.connections()[0]->ended());
 }
 
+TEST_F(RelayClientTest, ResponseOfAnAttemptThatBeginsPausedIsNotReadBeforeItIsAllowed)
+{
+    dispatch(true);
+    ASSERT_TRUE(loop_.runUntil(
+        [this]() { return listener_.connections().size() == 1 && listener_.connections()[0]->has("\r\n\r\n"); }));
+    listener_.connections()[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    const auto settled = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+    loop_.runUntil([settled]() { return std::chrono::steady_clock::now() >= settled; });
+    EXPECT_EQ(heads_, 0);
+    client_.setReading(AttemptId(1, lastAttempt_), true);
+    EXPECT_TRUE(loop_.runUntil([this]() { return ended_ == 1; }));
+}
+
+TEST_F(RelayClientTest, AttemptThatMayBeReadBeforeItIsConnectedDoesNotFail)
+{
+    dispatch(true);
+    client_.setReading(AttemptId(1, lastAttempt_), true);
+    ASSERT_TRUE(loop_.runUntil(
+        [this]() { return listener_.connections().size() == 1 && listener_.connections()[0]->has("\r\n\r\n"); }));
+    listener_.connections()[0]->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(loop_.runUntil([this]() { return ended_ == 1; }));
+    EXPECT_TRUE(failures_.empty());
+}
+
 TEST_F(RelayClientTest, RequestThatIsGivenUpIsNotDeliveredAfterwards)
 {
     boost::asio::ip::tcp::acceptor acceptor(loop_.context(), { boost::asio::ip::address_v4::loopback(), 0 });
