Take no upstream for silent while its caller does not read

What callers saw: a caller that left a long resumable stream unread for 1.3 s had it moved to another upstream, which spent an attempt and the retry budget, and the sound upstream got no new requests meanwhile.

Cause: more than 256 KiB unread pause the reading of the upstream. Nothing arrives then, and checkTimeouts counts this as the upstream's silence.

Evidence before the change: RelayBacklogTest, a stream whose caller reads nothing for 1.3 s has two runs instead of one (three runs of the test, each time). CallerBacklogTest on the stepped clock, 5 of 10 fail: three attempts instead of one after 4 s, and a silence decision; none of six new requests goes to the blamed upstream; three attempts after 775 ms instead of one; the attempt on standby is cancelled while neither is read; the attempt that a takeover returned to is cancelled.

Change: while the caller is behind, the silence limit is unlimited and the overlap of a takeover does not run out; both count anew from when reading goes on. The deadline holds as before, on both clocks.

--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -134,7 +134,7 @@
 
     void callerBacklog(const RequestId &request, bool backlogged) override
     {
-        perform([&](RelayCommands &commands) { system.callerBacklogged(request, backlogged, commands); });
+        perform([&](RelayCommands &commands) { system.callerBacklogged(request, backlogged, clock.now(), commands); });
     }
 
     void inputRejected(const Error &error) override
--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -127,13 +127,17 @@
     }
 }
 
-void RelayAttempts::setCallerBacklogged(RelayRow &row, bool backlogged, RelayCommands &commands)
+void RelayAttempts::setCallerBacklogged(RelayRow &row, bool backlogged, TimePoint now, RelayCommands &commands)
 {
     row.callerBacklogged = backlogged;
+    row.isSilent = false;
+    row.progressAt = now;
     if (row.attempt != AttemptId()) {
         commands.emplace_back(RelaySetReading { row.attempt, !backlogged });
     }
     if (row.standby.has_value()) {
+        row.standby->progressAt = now;
+        row.standby->endsAt = backlogged ? TimePoint::max() : now + StandbyTime;
         commands.emplace_back(RelaySetReading { row.standby->attempt, !backlogged });
     }
 }
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -46,8 +46,9 @@
     /** Ends the attempt on standby if there is one, and cancels it at its upstream. */
     void cancelStandby(RelayRow &row, RelayCommands &commands);
 
-    /** Pauses or resumes reading all of the row's attempts, including those that start later. */
-    static void setCallerBacklogged(RelayRow &row, bool backlogged, RelayCommands &commands);
+    /** Pauses or resumes reading all of the row's attempts, including those that start later. Their silence counts from
+     *  when reading goes on. */
+    static void setCallerBacklogged(RelayRow &row, bool backlogged, TimePoint now, RelayCommands &commands);
 
     /** Absent if the attempt has ended. */
     std::optional<RequestId> requestOf(const AttemptId &attempt) const;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -171,11 +171,11 @@
     serveQueue(queueKey, now, commands);
 }
 
-void RelaySystem::callerBacklogged(const RequestId &request, bool backlogged, RelayCommands &commands)
+void RelaySystem::callerBacklogged(const RequestId &request, bool backlogged, TimePoint now, RelayCommands &commands)
 {
     RelayRow *row = rows_.edit(request);
     if (row != nullptr) {
-        RelayAttempts::setCallerBacklogged(*row, backlogged, commands);
+        RelayAttempts::setCallerBacklogged(*row, backlogged, now, commands);
     }
 }
 
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -118,7 +118,7 @@
     void arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands);
     void callerGone(const RequestId &request, TimePoint now, RelayCommands &commands);
     /** Handles that the caller has left too much of its response unread, or has caught up. */
-    void callerBacklogged(const RequestId &request, bool backlogged, RelayCommands &commands);
+    void callerBacklogged(const RequestId &request, bool backlogged, TimePoint now, RelayCommands &commands);
     void noticeArrived(const UpstreamNotice &notice, TimePoint now, RelayCommands &commands);
     void headArrived(const RelayResponseHead &head, TimePoint now, RelayCommands &commands);
     void progressed(const RelayProgress &progress, TimePoint now, RelayCommands &commands);
--- a/servers/relay/retry_rules.cpp
+++ b/servers/relay/retry_rules.cpp
@@ -76,6 +76,9 @@
 
 Duration silenceLimitOf(const RelayRow &row)
 {
+    if (row.callerBacklogged) {
+        return Duration::max();
+    }
     if (row.phase == RelayPhase::Answering) {
         return row.route->gapTarget.value_or(row.route->target) * StallTimeoutGaps;
     }
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -23,7 +23,8 @@
 /** Time in which a broken stream must be resumed, or it is given up, since its caller will soon leave. */
 Duration resumeTimeoutOf(const RelayRow &row);
 
-/** Time without any part of the response after which another upstream should take the request over. */
+/** Time without any part of the response after which another upstream should take the request over. Unlimited
+ *  while the response is not read. */
 Duration silenceLimitOf(const RelayRow &row);
 
 } // namespace GeraniumLever
--- a/tests/main/relay/relay_backlog_test.cpp
+++ b/tests/main/relay/relay_backlog_test.cpp
@@ -55,6 +55,16 @@
     EXPECT_TRUE(response.body == standInEvents("/live/1", "prompt", Events));
 }
 
+TEST_F(RelayBacklogTest, StreamThatItsCallerPausedStaysAtItsUpstream)
+{
+    beginStream("/live/1");
+    runFor(milliseconds(1300));
+    EXPECT_TRUE(otherServer().arrivals().empty());
+    const ReceivedResponse response = readRest();
+    EXPECT_TRUE(response.body == standInEvents("/live/1", "prompt", Events));
+    EXPECT_EQ(ledger_["r1"].size(), 1U);
+}
+
 TEST_F(RelayBacklogTest, StreamThatItsCallerPausedEndsAtItsDeadline)
 {
     beginStream("/live/1");
--- a/tests/servers/relay/caller_backlog_test.cpp
+++ b/tests/servers/relay/caller_backlog_test.cpp
@@ -1,4 +1,6 @@
 /** Tests with callers that leave so much unread that the reading of their upstreams is paused. */
+#include <algorithm>
+
 #include "tests/servers/relay/relay_fixture.h"
 
 namespace GeraniumLever {
@@ -11,13 +13,15 @@
 protected:
     CallerBacklogTest()
     {
+        upstreams_.push_back(upstreamOf("e3", "engines", 4));
+        configuration_.routes[1].maxAttempts = 3;
         configure();
         stream_ = arrive("/live/1");
         answer(stream_);
         first_ = dispatches(stream_).back().attempt;
     }
 
-    void setBacklogged(bool backlogged) { system_.callerBacklogged(stream_, backlogged, commands_); }
+    void setBacklogged(bool backlogged) { system_.callerBacklogged(stream_, backlogged, clock_.now(), commands_); }
 
     /** Nothing arrives from any upstream. */
     void pass(Duration duration)
@@ -100,5 +104,76 @@
     EXPECT_TRUE(isRead(dispatches(stream_).back().attempt));
 }
 
+TEST_F(CallerBacklogTest, UpstreamIsNotTakenForSilentWhileItsCallerDoesNotRead)
+{
+    setBacklogged(true);
+    pass(std::chrono::seconds(4));
+    EXPECT_EQ(dispatches(stream_).size(), 1U);
+    EXPECT_TRUE(lastDecision("silence").empty());
+}
+
+TEST_F(CallerBacklogTest, UpstreamOfACallerThatDoesNotReadStillGetsRequests)
+{
+    setBacklogged(true);
+    pass(milliseconds(900));
+    std::set<UpstreamName> used;
+    for (int number = 0; number < 6; ++number) {
+        used.insert(dispatches(arrive("/live/1")).front().upstream);
+    }
+    EXPECT_EQ(used.count(dispatches(stream_).front().upstream), 1U);
+}
+
+TEST_F(CallerBacklogTest, SilenceCountsFromWhenReadingGoesOn)
+{
+    setBacklogged(true);
+    pass(std::chrono::seconds(4));
+    setBacklogged(false);
+    pass(milliseconds(775));
+    EXPECT_EQ(dispatches(stream_).size(), 1U);
+    pass(milliseconds(25));
+    EXPECT_EQ(dispatches(stream_).size(), 2U);
+}
+
+TEST_F(CallerBacklogTest, TakeoverDoesNotRunOutWhileItsAttemptsAreNotRead)
+{
+    startTakeover();
+    setBacklogged(true);
+    pass(milliseconds(1000));
+    EXPECT_FALSE(cancelled(first_));
+    setBacklogged(false);
+    pass(milliseconds(225));
+    EXPECT_FALSE(cancelled(first_));
+    pass(milliseconds(25));
+    EXPECT_TRUE(cancelled(first_));
+    EXPECT_FALSE(cancelled(next_));
+}
+
+TEST_F(CallerBacklogTest, AttemptThatATakeoverReturnsToIsNotTakenForSilentWhileItIsNotRead)
+{
+    startTakeover();
+    setBacklogged(true);
+    const std::size_t commandsBefore = commands_.size();
+    answerNotRun(stream_);
+    pass(std::chrono::seconds(2));
+    EXPECT_FALSE(cancelled(first_));
+    const auto isSilence = [](const RelayCommand &command) {
+        const auto *decision = std::get_if<Decision>(&command);
+        return decision != nullptr && decision->kind == "silence";
+    };
+    EXPECT_EQ(
+        std::count_if(commands_.begin() + static_cast<std::ptrdiff_t>(commandsBefore), commands_.end(), isSilence), 0);
+}
+
+TEST_F(CallerBacklogTest, StreamThatItsCallerDoesNotReadEndsAtItsDeadline)
+{
+    setBacklogged(true);
+    pass(milliseconds(9975));
+    EXPECT_FALSE(broken(stream_));
+    pass(milliseconds(25));
+    EXPECT_TRUE(broken(stream_));
+    EXPECT_TRUE(cancelled(first_));
+    EXPECT_EQ(lastDecision("finish")["reason"], "deadline");
+}
+
 } // namespace
 } // namespace GeraniumLever
