Count a response that arrives piece by piece as a sign of life

What callers saw: a request that may be repeated, whose upstream sends its response without events over a longer time than two latency targets, was started again at another upstream, and the response that was arriving was cancelled. With two upstreams, a target of 300 ms, a deadline of 2.5 s and a body that takes 1.95 s, the caller got 504 in place of a response that would have been whole half a second before the deadline, the request ran twice, and a sound upstream was held for failed.

Cause: a response that is forwarded only once it is complete (up to 256 KiB, all but successful streams) is reported to the relay logic when it is complete. Until then the attempt counts as silent, however much of it has arrived.

Change: RelayExchange reports the head and further parts of a response that it holds back, and RelayAttempts takes them for a sign of life of that attempt. It is no first byte: the request may still be sent elsewhere if the response breaks. If it comes from a silent attempt that has a replacement, the attempt becomes the current one again and the replacement stays on standby for what is left of the 250 ms, so that it can still be used. Skipped responses, failures of the upstream (5xx), and what cannot continue a stream that has begun are no sign of life.

A body that trickles is no sign of life either: with a stated length, the rest has to arrive within the request's time at the pace so far; without, 64 bytes have to arrive between two reports. Such a request moves as before, since it may be repeated and would otherwise end at its deadline without an answer. What nobody can take over goes on until the deadline.

Not solved: a silent attempt that wins over its replacement and breaks after these 250 ms has used one of the route's attempts, as streams do.

--- a/development/platform_standins/server_stand_in.cpp
+++ b/development/platform_standins/server_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "development/platform_standins/server_stand_in.h"
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 
@@ -16,6 +17,7 @@
 {
     std::uint64_t events = 0;
     std::uint64_t gap = 0;
+    std::uint64_t pieces = 1;
     std::optional<std::uint64_t> cut;
     std::optional<std::uint64_t> shortAfter;
     std::optional<std::uint64_t> stopAfter;
@@ -43,6 +45,8 @@
             script.events = numberOf(word);
         } else if (word.starts_with("gap=")) {
             script.gap = numberOf(word);
+        } else if (word.starts_with("pieces=") && applies) {
+            script.pieces = std::max<std::uint64_t>(numberOf(word), 1);
         } else if (word == "first") {
             applies = firstRun;
         } else if (word.starts_with("cut=") && applies) {
@@ -94,6 +98,7 @@
     std::string body;
     Script script;
     std::uint64_t nextEvent = 1;
+    std::uint64_t nextPiece = 1;
     bool over = false;
     boost::asio::steady_timer timer;
 
@@ -381,6 +386,26 @@
     job->session->whenPeerCloses(nullptr);
 }
 
+void ServerStandIn::sendNextPiece(const std::shared_ptr<Job> &job, const std::string &rest)
+{
+    if (rest.empty()) {
+        release(job);
+        job->script.unframed ? job->session->closeAfterSending() : job->session->finish();
+        return;
+    }
+    if (job->script.cut.has_value() && job->nextPiece > *job->script.cut) {
+        job->breakOff();
+        return;
+    }
+    const std::size_t piecesLeft = std::max(job->script.pieces, job->nextPiece) - job->nextPiece + 1;
+    const std::size_t size = (rest.size() + piecesLeft - 1) / piecesLeft;
+    ++job->nextPiece;
+    schedule(job, std::chrono::milliseconds(job->script.gap), [this, job, rest, size]() {
+        job->session->send(rest.substr(0, size));
+        sendNextPiece(job, rest.substr(size));
+    });
+}
+
 void ServerStandIn::answerWhole(const std::shared_ptr<Job> &job)
 {
     const Script &script = job->script;
@@ -388,9 +413,14 @@
     const std::string body = failed ? "failed\n" : standInBody(job->method, job->target, job->body);
     const std::string requestId = script.fault == "foreign" ? "another" : job->requestId;
     const std::string length = script.unframed ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    const std::string answer =
-        head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n", script.leaving)
-        + body;
+    const std::string answerHead =
+        head(failed ? 500 : 200, requestId, "Server-Seal: " + settings_.id + "\r\n" + length + "\r\n", script.leaving);
+    if (script.pieces > 1) {
+        job->session->send(answerHead);
+        sendNextPiece(job, body);
+        return;
+    }
+    const std::string answer = answerHead + body;
     release(job);
     if (script.cut.has_value()) {
         job->session->send(answer.substr(0, answer.size() - body.size() / 2));
--- a/development/platform_standins/server_stand_in.h
+++ b/development/platform_standins/server_stand_in.h
@@ -67,8 +67,9 @@
  * request's own field "Stand-In" says what goes wrong, in words separated by blanks:
  *   events=N         answers with N server-sent events
  *   gap=MS           pause before each event, and before an answer without events
+ *   pieces=N         sends the body of an answer without events in N pieces, with the pause before each
  *   first            what follows holds only for the first run of the request
- *   cut=N            closes in the middle of event N + 1, or of the body
+ *   cut=N            closes in the middle of event N + 1, or of the body, or after piece N
  *   short=N          ends the body in the middle of event N + 1 as if it were complete
  *   stop=N           closes after event N
  *   hard             resets the connection where it would close it
@@ -152,6 +153,8 @@
     void crashSoon(const std::shared_ptr<Job> &job);
     /** The job no longer counts as running. */
     void release(const std::shared_ptr<Job> &job);
+    /** Sends the rest of the body in the pieces that are left. */
+    void sendNextPiece(const std::shared_ptr<Job> &job, const std::string &rest);
     void answerWhole(const std::shared_ptr<Job> &job);
     std::string head(unsigned status,
                      const std::string &requestId,
--- a/drivers/relay/relay_client.cpp
+++ b/drivers/relay/relay_client.cpp
@@ -93,6 +93,11 @@
     observer_.exchangeNotice(notice);
 }
 
+void RelayClient::exchangeHeldBack(const AttemptId &attempt)
+{
+    observer_.exchangeHeldBack(attempt);
+}
+
 void RelayClient::exchangeHead(const RelayResponseHead &head, const RelayResponse &response)
 {
     observer_.exchangeHead(head, response);
--- a/drivers/relay/relay_client.h
+++ b/drivers/relay/relay_client.h
@@ -31,6 +31,7 @@
 
 private:
     void exchangeNotice(const UpstreamNotice &notice) override;
+    void exchangeHeldBack(const AttemptId &attempt) override;
     void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) override;
     void exchangeData(const AttemptId &attempt, std::string_view bytes, const std::string &lastEventId) override;
     void exchangeEnded(const AttemptId &attempt) override;
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -18,6 +18,8 @@
 /** Responses up to this size are buffered and forwarded only once complete, so that a broken one can be replaced by
  * that of another attempt. */
 constexpr std::size_t MaxBufferedBodyBytes = 256 * 1024;
+/** A buffered body of unknown length goes on only if this much of it has arrived since the last report. */
+constexpr std::size_t MinReportedBytes = 64;
 /** Largest event, with the empty lines before it. */
 constexpr std::size_t MaxEventBytes = 1024 * 1024;
 /** Maximum size of all responses that are discarded before the one to the request. */
@@ -94,6 +96,7 @@
 
 void RelayExchange::start(const std::string &lastEventId)
 {
+    dueAt_ = BootClock().now() + dispatch_.timeLeft;
     const http::fields fields = codec_.upstreamFields(*call_, dispatch_, lastEventId);
     output_.reserve(1024 + call_->body.size());
     output_.append(call_->method).append(" ").append(call_->target).append(" HTTP/1.1\r\n");
@@ -275,6 +278,7 @@
         fail(RelayFailure::Kind::InvalidResponse);
         return;
     }
+    reportHeldBack();
     read();
 }
 
@@ -368,6 +372,34 @@
     return !finished_;
 }
 
+void RelayExchange::reportHeldBack()
+{
+    if (!headParsed_ || skipResponse_ || headForwarded_
+        || http::to_status_class(parser_->get().result()) == http::status_class::server_error) {
+        return;
+    }
+    if (!reportedBytes_.has_value()) {
+        headArrivedAt_ = BootClock().now();
+    } else if (!isArrivingInTime()) {
+        return;
+    }
+    reportedBytes_ = bufferedBody_.size();
+    observer_.exchangeHeldBack(dispatch_.attempt);
+}
+
+bool RelayExchange::isArrivingInTime() const
+{
+    const boost::optional<std::uint64_t> rest = parser_->content_length_remaining();
+    if (!rest.has_value()) {
+        return bufferedBody_.size() >= *reportedBytes_ + MinReportedBytes;
+    }
+    const TimePoint now = BootClock().now();
+    const std::chrono::duration<double> passed = now - headArrivedAt_;
+    const std::chrono::duration<double> left = dueAt_ - now;
+    const double arrived = static_cast<double>(bufferedBody_.size());
+    return static_cast<double>(*rest) * passed <= arrived * left;
+}
+
 void RelayExchange::forwardBody(std::string piece)
 {
     if (forwardsWholeEvents()) {
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -27,6 +27,9 @@
     /** The upstream has stated something about itself, in any response on the connection. Called before exchangeHead;
      *  may not be followed by it. */
     virtual void exchangeNotice(const UpstreamNotice &notice) = 0;
+    /** Part of a response has arrived that is forwarded only once it is complete, which is likely to be in time.
+     *  Called only before exchangeHead; may not be followed by it. */
+    virtual void exchangeHeldBack(const AttemptId &attempt) = 0;
     virtual void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) = 0;
     /** Called only after exchangeHead. */
     virtual void exchangeData(const AttemptId &attempt, std::string_view bytes, const std::string &lastEventId) = 0;
@@ -72,6 +75,10 @@
     /** Both return false if the exchange has finished. */
     bool processHead();
     bool processBody();
+    /** Reports that a response which is held back goes on. */
+    void reportHeldBack();
+    /** True if the rest of the buffered response is likely to arrive within the request's time. */
+    bool isArrivingInTime() const;
     /** True if only complete events are forwarded, so that the stream can be resumed after any of them. Not known
      *  before the head has been parsed. */
     bool forwardsWholeEvents() const;
@@ -100,6 +107,12 @@
     RelayResponse response_;
     /** Body of a response that is forwarded only once it is complete. */
     std::string bufferedBody_;
+    /** Size of that body when it was last reported; absent before that. */
+    std::optional<std::size_t> reportedBytes_;
+    /** On the clock of connectStartedAt_. */
+    TimePoint headArrivedAt_;
+    /** Time by which the response is due, on the same clock. */
+    TimePoint dueAt_;
     bool connecting_ = false;
     /** On a clock that includes time during which the machine was suspended. */
     TimePoint connectStartedAt_;
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -151,6 +151,8 @@
         perform([&](RelayCommands &commands) { system.noticeArrived(notice, clock.now(), commands); });
     }
 
+    void exchangeHeldBack(const AttemptId &attempt) override { noteProgress({ attempt, true }); }
+
     void exchangeHead(const RelayResponseHead &head, const RelayResponse &response) override
     {
         responses[head.attempt] = &response;
@@ -172,11 +174,7 @@
             found->second.lastEventId = lastEventId;
         }
         const RequestId id = request->second;
-        RelayCommands news;
-        system.progressed({ attempt }, clock.now(), news);
-        if (!news.empty()) {
-            perform([&](RelayCommands &commands) { commands = std::move(news); });
-        }
+        noteProgress({ attempt });
         callerServer.append(id, bytes);
     }
 
@@ -357,6 +355,15 @@
         LOG(INFO) << formatDecision(decision);
     }
 
+    void noteProgress(const RelayProgress &progress)
+    {
+        RelayCommands news;
+        system.progressed(progress, clock.now(), news);
+        if (!news.empty()) {
+            perform([&](RelayCommands &commands) { commands = std::move(news); });
+        }
+    }
+
     void removeCall(const AttemptId &attempt)
     {
         const auto request = requestsByAttempt.find(attempt);
--- a/servers/relay/relay_attempts.cpp
+++ b/servers/relay/relay_attempts.cpp
@@ -44,8 +44,15 @@
     placement_.noteSent(placementQueryOf(row), row.unreadTokens, now);
 }
 
-void RelayAttempts::noteProgress(RelayRow &row, TimePoint now, RelayCommands &commands)
+void RelayAttempts::noteProgress(RelayRow &row, const RelayProgress &progress, TimePoint now, RelayCommands &commands)
 {
+    if (progress.heldBack) {
+        noteHeldBack(row, progress.attempt, now, commands);
+        return;
+    }
+    if (row.isOnStandby(progress.attempt)) {
+        revive(row, now, commands);
+    }
     cancelStandby(row, commands);
     UpstreamLoad &load = placement_.load(row.upstream.name);
     load.noteTokenGap(now - row.progressAt, now);
@@ -56,6 +63,28 @@
     }
 }
 
+void RelayAttempts::noteHeldBack(RelayRow &row, const AttemptId &attempt, TimePoint now, RelayCommands &commands)
+{
+    // A stream that has begun cannot go on with a response that is held back.
+    if (row.firstByte.has_value()) {
+        return;
+    }
+    placement_.load(row.upstreamOf(attempt).name).noteSign(now);
+    if (row.isOnStandby(attempt)) {
+        // If the responses to both attempts arrive, the one that was sent first goes on.
+        if (row.attempt < attempt) {
+            row.standby->progressAt = now;
+            return;
+        }
+        // The other attempt stays on standby, since this response may still break.
+        revive(row, now, commands);
+    }
+    row.progressAt = now;
+    if (std::exchange(row.isSilent, false)) {
+        placement_.load(row.upstream.name).noteAnswered(now);
+    }
+}
+
 void RelayAttempts::end(RelayRow &row)
 {
     UpstreamLoad &load = placement_.load(row.upstream.name);
--- a/servers/relay/relay_attempts.h
+++ b/servers/relay/relay_attempts.h
@@ -22,8 +22,8 @@
     /** Gives the row a new attempt. */
     void start(RelayRow &row, const Placement &placement, TimePoint now);
 
-    /** Another part of the response has arrived. */
-    void noteProgress(RelayRow &row, TimePoint now, RelayCommands &commands);
+    /** Another part of the response to one of the row's attempts has arrived. */
+    void noteProgress(RelayRow &row, const RelayProgress &progress, TimePoint now, RelayCommands &commands);
 
     /** Releases the attempt's load at its upstream; the row has no attempt afterwards. */
     void end(RelayRow &row);
@@ -54,6 +54,8 @@
     std::optional<RequestId> requestOf(const AttemptId &attempt) const;
 
 private:
+    void noteHeldBack(RelayRow &row, const AttemptId &attempt, TimePoint now, RelayCommands &commands);
+
     std::uint64_t origin_;
     RelayPlacement &placement_;
     std::uint64_t lastSequence_ = 0;
--- a/servers/relay/relay_messages.h
+++ b/servers/relay/relay_messages.h
@@ -117,10 +117,12 @@
     auto operator<=>(const RelayResponseHead &) const = default;
 };
 
-/** Another part of a streamed response has arrived. */
+/** Another part of a response has arrived. */
 struct RelayProgress
 {
     AttemptId attempt;
+    /** True if the response is forwarded only once it is complete, and is not complete yet. */
+    bool heldBack = false;
 
     auto operator<=>(const RelayProgress &) const = default;
 };
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -467,9 +467,9 @@
 
 void RelaySystem::progressed(const RelayProgress &progress, TimePoint now, RelayCommands &commands)
 {
-    RelayRow *row = respondingRow(progress.attempt, now, commands);
+    RelayRow *row = rowOf(progress.attempt);
     if (row != nullptr) {
-        attempts_.noteProgress(*row, now, commands);
+        attempts_.noteProgress(*row, progress, now, commands);
     }
 }
 
--- a/servers/relay/upstream_load.h
+++ b/servers/relay/upstream_load.h
@@ -82,6 +82,9 @@
         return ownRequests_ == 0 ? Duration(0) : now - std::max(lastSignAt_, busySince_);
     }
 
+    /** Something has arrived from there that is not an answer yet. */
+    void noteSign(TimePoint now) { lastSignAt_ = now; }
+
     /** True if something has arrived from there within this time. */
     bool hasResponded(Duration within, TimePoint now) const
     {
--- a/tests/drivers/relay/endless_response_test.cpp
+++ b/tests/drivers/relay/endless_response_test.cpp
@@ -30,6 +30,7 @@
     EndlessResponseTest() : listener_(loop_.context()), client_(loop_.context(), codec_, *this) { }
 
     void exchangeNotice(const UpstreamNotice &) override { }
+    void exchangeHeldBack(const AttemptId &) override { ++heldBack_; }
     void exchangeHead(const RelayResponseHead &, const RelayResponse &) override { }
     void exchangeData(const AttemptId &, std::string_view, const std::string &) override { }
     void exchangeEnded(const AttemptId &) override { ++ended_; }
@@ -97,6 +98,7 @@
     RawListener listener_;
     NamedRequestCodec codec_;
     RelayClient client_;
+    int heldBack_ = 0;
     int ended_ = 0;
     std::vector<RelayFailure::Kind> failures_;
     std::uint64_t lastAttempt_ = 0;
@@ -133,6 +135,7 @@
     dispatch();
     expectGivenUp("HTTP/1.1 200 OK\r\nX-For: another\r\nTransfer-Encoding: chunked\r\n\r\n",
                   "400\r\n" + std::string(0x400, 'x') + "\r\n");
+    EXPECT_EQ(heldBack_, 0) << "what is skipped is no part of the response";
     EXPECT_EQ(listener_.connections().size(), 1U) << "the second request used the first one's connection";
 }
 
--- a/tests/drivers/relay/relay_client_test.cpp
+++ b/tests/drivers/relay/relay_client_test.cpp
@@ -17,6 +17,7 @@
     RelayClientTest() : listener_(loop_.context()), client_(loop_.context(), codec_, *this) { }
 
     void exchangeNotice(const UpstreamNotice &) override { }
+    void exchangeHeldBack(const AttemptId &) override { ++heldBack_; }
     void exchangeHead(const RelayResponseHead &, const RelayResponse &) override { ++heads_; }
     void exchangeData(const AttemptId &, std::string_view, const std::string &) override { }
     void exchangeEnded(const AttemptId &) override { ++ended_; }
@@ -29,6 +30,7 @@
         dispatch.attempt = AttemptId(1, ++lastAttempt_);
         dispatch.address = listener_.address();
         dispatch.freshConnection = true;
+        dispatch.timeLeft = std::chrono::minutes(1);
         const std::shared_ptr<RelayCall> call = std::make_shared<RelayCall>();
         call->method = "POST";
         call->target = "/x";
@@ -36,6 +38,17 @@
         client_.dispatch(dispatch, call, "");
     }
 
+    /** The upstream sends part of its response to the only request; waits until it has arrived. */
+    void sendPart(const std::string &bytes)
+    {
+        ASSERT_TRUE(loop_.runUntil(
+            [this]() { return !listener_.connections().empty() && !listener_.connections()[0]->received().empty(); }));
+        listener_.connections()[0]->send(bytes);
+        const std::chrono::steady_clock::time_point settled =
+            std::chrono::steady_clock::now() + std::chrono::milliseconds(50);
+        loop_.runUntil([settled]() { return std::chrono::steady_clock::now() >= settled; });
+    }
+
     /** Blocks the event loop for longer than the connect timeout, as if the process got no processor time. */
     static void blockThread() { std::this_thread::sleep_for(UpstreamConnectTimeout * 2); }
 
@@ -43,6 +56,7 @@
     RawListener listener_;
     PassThroughHeaderCodec codec_;
     RelayClient client_;
+    int heldBack_ = 0;
     int heads_ = 0;
     int ended_ = 0;
     std::vector<RelayFailure::Kind> failures_;
@@ -135,5 +149,39 @@
     EXPECT_EQ(error, boost::asio::error::connection_reset);
 }
 
+TEST_F(RelayClientTest, ResponseThatIsHeldBackIsReportedWhileItArrives)
+{
+    dispatch();
+    sendPart("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+    EXPECT_EQ(heldBack_, 1);
+    sendPart("0123456789");
+    EXPECT_EQ(heldBack_, 2);
+    EXPECT_EQ(heads_, 0);
+    sendPart("0123456789");
+    EXPECT_EQ(heldBack_, 2);
+    EXPECT_EQ(heads_, 1);
+    EXPECT_EQ(ended_, 1);
+}
+
+TEST_F(RelayClientTest, InformationalResponseAndFailureAreNotReportedAsAResponseThatArrives)
+{
+    dispatch();
+    sendPart("HTTP/1.1 100 Continue\r\n\r\n");
+    sendPart("HTTP/1.1 500 X\r\nContent-Length: 20\r\n\r\n");
+    sendPart("0123456789");
+    EXPECT_EQ(heldBack_, 0);
+    sendPart("0123456789");
+    EXPECT_EQ(ended_, 1);
+}
+
+TEST_F(RelayClientTest, ByteNowAndThenIsNotReportedAsAResponseThatArrives)
+{
+    dispatch();
+    sendPart("HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n");
+    sendPart("0");
+    sendPart("1");
+    EXPECT_EQ(heldBack_, 1);
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/main/relay/relay_pace_test.cpp
+++ b/tests/main/relay/relay_pace_test.cpp
@@ -70,5 +70,47 @@
     EXPECT_TRUE(runUntil([this]() { return servers_[1]->running() + servers_[2]->running() == 0; }));
 }
 
+/** Responses without events, which are forwarded once they are complete. */
+class HeldBackResponseTest : public RelayPaceTest
+{
+protected:
+    HeldBackResponseTest()
+    {
+        addServer("p2", "plain", 32);
+        runFor(milliseconds(400));
+    }
+
+    void expectAnswerAfterRuns(const std::string &standIn, std::size_t runs)
+    {
+        const std::string prompt(199, 'p');
+        const ReceivedResponse response =
+            sendRequest(request("r1", "POST", "/read/1", prompt, "Stand-In: " + standIn + "\r\n"));
+        EXPECT_EQ(response.status, 200U);
+        EXPECT_EQ(response.body, standInBody("POST", "/read/1", prompt));
+        EXPECT_EQ(ledger_["r1"].size(), runs);
+        EXPECT_TRUE(runUntil([this]() { return servers_[0]->running() + servers_[3]->running() == 0; }));
+    }
+};
+
+TEST_F(HeldBackResponseTest, ResponseThatArrivesSlowlyIsNotStartedAgainElsewhere)
+{
+    expectAnswerAfterRuns("pieces=12 gap=150", 1);
+}
+
+TEST_F(HeldBackResponseTest, ResponseThatWouldNotBeCompleteInTimeIsStartedAgainElsewhere)
+{
+    expectAnswerAfterRuns("first pieces=200 gap=100", 2);
+}
+
+TEST_F(HeldBackResponseTest, ResponseOfUnknownLengthThatSendsAByteNowAndThenIsStartedAgainElsewhere)
+{
+    expectAnswerAfterRuns("first unframed pieces=200 gap=100", 2);
+}
+
+TEST_F(HeldBackResponseTest, ResponseThatBreaksAfterItWasSlowIsReplaced)
+{
+    expectAnswerAfterRuns("gap=150 first pieces=12 cut=8", 2);
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -74,6 +74,9 @@
         }
     }
 
+    /** Part of a response arrives that is not complete yet and not forwarded before. */
+    void holdBack(const AttemptId &attempt) { system_.progressed({ attempt, true }, clock_.now(), commands_); }
+
     long countBroken(const std::vector<RequestId> &requests) const
     {
         return std::count_if(
@@ -520,6 +523,71 @@
     expectAnswerOf(silent_);
 }
 
+TEST_F(ReadTakeoverTest, RequestWhoseResponseArrivesIsNotMoved)
+{
+    configure();
+    read_ = arrive("/read/1");
+    const AttemptId attempt = dispatches(read_).back().attempt;
+    for (int part = 0; part < 4; ++part) {
+        pass(milliseconds(300), {});
+        holdBack(attempt);
+    }
+    EXPECT_EQ(dispatches(read_).size(), 1U);
+    EXPECT_TRUE(lastDecision("silence").empty());
+    expectAnswerOf(attempt);
+}
+
+TEST_F(ReadTakeoverTest, SilentAttemptWhoseResponseArrivesGoesOn)
+{
+    startTakeover();
+    holdBack(silent_);
+    holdBack(next_);
+    pass(milliseconds(275), {});
+    EXPECT_TRUE(cancelled(next_));
+    expectAnswerOf(silent_);
+}
+
+TEST_F(ReadTakeoverTest, ReplacementGoesOnWhenTheResponseOfTheSilentUpstreamBreaks)
+{
+    startTakeover();
+    holdBack(silent_);
+    system_.failed({ silent_, RelayFailure::Kind::Broken }, clock_.now(), commands_);
+    expectAnswerOf(next_);
+}
+
+TEST_F(ReadTakeoverTest, ReplacementWhoseResponseArrivesGoesOn)
+{
+    startTakeover();
+    holdBack(next_);
+    EXPECT_FALSE(cancelled(silent_));
+    pass(milliseconds(275), {});
+    EXPECT_TRUE(cancelled(silent_));
+    expectAnswerOf(next_);
+}
+
+TEST_F(ReadTakeoverTest, ResponseThatBreaksBeforeItIsForwardedIsReplaced)
+{
+    configure();
+    read_ = arrive("/read/1");
+    holdBack(dispatches(read_).back().attempt);
+    fail(read_);
+    ASSERT_EQ(dispatches(read_).size(), 2U);
+    expectAnswerOf(dispatches(read_).back().attempt);
+}
+
+TEST_F(TakeoverTest, ResponseThatCannotContinueAStreamIsNoSignOfLife)
+{
+    for (Route &route : configuration_.routes) {
+        route.maxAttempts = 3;
+    }
+    startTakeover();
+    for (int part = 0; part < 9; ++part) {
+        pass(milliseconds(100), {});
+        holdBack(next_);
+    }
+    EXPECT_EQ(lastDecision("silence")["upstream"], dispatches(stream_)[1].upstream.text());
+}
+
 TEST_F(TakeoverTest, UpstreamThatGoesOnDuringATakeoverIsNoLongerSuspected)
 {
     upstreams_ = { upstreamOf("e1", "engines", 48), upstreamOf("e2", "engines", 48) };
