Keep a silent attempt of a node until a seat replaces it

Callers saw streams end with no_upstream, shed or deadline_unreachable although their upstream was silent only for a while and would have gone on.

Cause: the node closed the connection of an attempt once its upstream had sent nothing for the silence limit (3 s or more), then probed, and only then asked for a seat. If the scheduler refused (all upstreams excluded, the retry budget spent), no seat was granted in time, or no attempts were left, there was nothing to go back to.

Change: UpstreamExchange reports silence and stays open until it is cancelled. The ingress probes, frees the seat, and requests another one while the attempt goes on; it cancels the attempt when the seat is granted. If its upstream sends something first, or no seat is granted, the attempt is registered with the scheduler again and goes on, for 15 s of silence at most. While a silent attempt is open the request is not forwarded to another data centre. Calls that run at most once are cancelled and end as unknown, as before, and are never sent again. A caller that goes during the probe frees its seat, which it did not before.

The fake upstream of the scenarios keeps silent attempts open in the same way.

--- a/core/commands.h
+++ b/core/commands.h
@@ -86,7 +86,7 @@
     bool streamed = false;
     /** True if a new connection must be opened instead of reusing a pooled one. */
     bool freshConnection = false;
-    /** Maximum time without any data transfer before the attempt fails. */
+    /** Time without any data transfer after which the attempt is reported as silent. */
     Duration silenceLimit = std::chrono::seconds(10);
 
     auto operator<=>(const UpstreamDispatch &) const = default;
--- a/core/events.h
+++ b/core/events.h
@@ -113,7 +113,8 @@
         NotConnected,
         /** The connection failed after at least one byte of the request may have been sent. */
         Broken,
-        /** Connected, but no data was transferred within UpstreamDispatch::silenceLimit. */
+        /** No data was transferred within UpstreamDispatch::silenceLimit. The attempt stays open until it is cancelled,
+         *  and this is reported again after each further limit. */
         Silent,
     };
 
--- a/drivers/http/upstream_exchange.h
+++ b/drivers/http/upstream_exchange.h
@@ -80,7 +80,6 @@
     bool headReported_ = false;
     bool reading_ = true;
     bool readPending_ = false;
-    bool timedOutWhileSending_ = false;
     bool over_ = false;
 };
 
--- a/servers/ingress/ingress_system.cpp
+++ b/servers/ingress/ingress_system.cpp
@@ -17,6 +17,8 @@
 constexpr Duration ProgressPeriod = std::chrono::seconds(1);
 /** How long a request that may have reached an upstream may wait for another seat. */
 constexpr Duration MaxResumeWait = std::chrono::seconds(15);
+/** How long a silent attempt may go on after its silence was first reported if nothing can replace it. */
+constexpr Duration MaxSilence = std::chrono::seconds(15);
 constexpr Duration MaxPauseWait = std::chrono::minutes(5);
 constexpr Duration DefaultRetryAfter = std::chrono::seconds(1);
 constexpr std::size_t MaxBodyBytes = 16 * 1024 * 1024;
@@ -37,6 +39,11 @@
         && (row.phase != RequestPhase::Forwarded || isEventStream(row.head));
 }
 
+Error silenceError()
+{
+    return { ResultCode::UpstreamTimeout, "the upstream stopped sending data", std::nullopt };
+}
+
 std::uint64_t requestDigest(const CallerRequest &call)
 {
     const std::string text = call.method + '\n' + call.target + '\n' + call.body;
@@ -108,7 +115,7 @@
     if (row->phase == RequestPhase::WaitingForSeat) {
         seats_.cancel(*row, commands);
     }
-    if (row->phase == RequestPhase::Running || row->phase == RequestPhase::Forwarded) {
+    if (!row->running.attempt.empty()) {
         row->mayHaveReachedUpstream = true;
         commands.emplace_back(UpstreamCancel { row->running.attempt });
         seats_.end(*row, AttemptEnding::Cancelled, row->answer.tokens(), commands);
@@ -130,7 +137,14 @@
 
 void IngressSystem::requestSeat(RequestRow &row, TimePoint now, Commands &commands)
 {
-    if (seats_.enqueue(row, now, commands) || forwarder_.forward(row, row.deadline - now, now, commands)) {
+    if (seats_.enqueue(row, now, commands)) {
+        return;
+    }
+    if (row.hasSilentAttempt()) {
+        keepSilentAttempt(row, now, commands);
+        return;
+    }
+    if (forwarder_.forward(row, row.deadline - now, now, commands)) {
         return;
     }
     finisher_.failRequest(
@@ -149,6 +163,10 @@
     }
     if (now >= row->deadline) {
         seats_.decline(from, grant, commands);
+        if (row->hasSilentAttempt()) {
+            keepSilentAttempt(*row, now, commands);
+            return;
+        }
         finisher_.failRequest(
             *row,
             { ResultCode::DeadlineUnreachable, "no seat became free before the deadline", DefaultRetryAfter },
@@ -162,6 +180,9 @@
         requestSeat(*row, now, commands);
         return;
     }
+    if (row->hasSilentAttempt()) {
+        commands.emplace_back(UpstreamCancel { row->running.attempt });
+    }
     seats_.accept(*row, from, grant);
     if (row->requestClass.idempotent) {
         dispatch(*row, now, commands);
@@ -177,6 +198,10 @@
     if (row == nullptr || !seats_.expects(*row, from)) {
         return;
     }
+    if (row->hasSilentAttempt()) {
+        keepSilentAttempt(*row, now, commands);
+        return;
+    }
     if (forwarder_.forward(*row, row->deadline - now, now, commands)) {
         return;
     }
@@ -245,6 +270,7 @@
         return;
     }
     row->mayHaveReachedUpstream = true;
+    endSilence(*row, now, commands);
     if (!head.echoedAttempt.empty() && head.echoedAttempt != head.attempt.text()) {
         Decision decision = makeDecision("crossed_answer", *row);
         addField(decision, "expected", head.attempt.text());
@@ -275,6 +301,7 @@
     if (row == nullptr) {
         return;
     }
+    endSilence(*row, now, commands);
     if (isCompletionStream(*row)) {
         handleCompletionEvent(*row, data.data, now, commands);
         return;
@@ -347,6 +374,7 @@
     if (row == nullptr) {
         return;
     }
+    endSilence(*row, now, commands);
     if (isCompletionStream(*row)) {
         attemptLost(
             *row,
@@ -372,6 +400,18 @@
         return;
     }
     const bool forwarded = row->phase == RequestPhase::Forwarded;
+    const bool silent = failure.kind == UpstreamFailure::Kind::Silent;
+    if (silent && row->requestClass.idempotent && !forwarded) {
+        attemptSilent(*row, now, commands);
+        return;
+    }
+    if (silent) {
+        commands.emplace_back(UpstreamCancel { failure.attempt });
+    } else if (row->phase == RequestPhase::WaitingForSeat) {
+        // The seat that replaces the silent attempt has already been requested.
+        seats_.end(*row, AttemptEnding::Lost, 0, commands);
+        return;
+    }
     if (failure.kind == UpstreamFailure::Kind::NotConnected) {
         if (forwarded) {
             row->mayHaveReachedUpstream = row->reachedUpstreamBeforeForward;
@@ -383,25 +423,75 @@
         return;
     }
     row->mayHaveReachedUpstream = true;
-    if (failure.kind == UpstreamFailure::Kind::Broken || forwarded || !row->requestClass.idempotent) {
-        attemptLost(*row,
-                    { ResultCode::UpstreamLost, "the upstream was lost before its answer was complete", std::nullopt },
-                    now,
-                    commands);
+    attemptLost(*row,
+                { ResultCode::UpstreamLost, "the upstream was lost before its answer was complete", std::nullopt },
+                now,
+                commands);
+}
+
+void IngressSystem::attemptSilent(RequestRow &row, TimePoint now, Commands &commands)
+{
+    const bool isHandled = row.phase != RequestPhase::Running;
+    if (isHandled) {
         return;
     }
-    // The connection may be dead although the upstream is healthy; only a new connection can tell.
-    const Upstream *upstream = catalog_->upstreams().find(row->running.upstream);
-    commands.emplace_back(UpstreamCancel { failure.attempt });
+    row.mayHaveReachedUpstream = true;
+    row.running.silentSince = row.running.silentSince.value_or(now);
+    if (now - *row.running.silentSince >= MaxSilence) {
+        commands.emplace_back(UpstreamCancel { row.running.attempt });
+        attemptLost(row, silenceError(), now, commands);
+        return;
+    }
+    const Upstream *upstream = catalog_->upstreams().find(row.running.upstream);
     if (upstream == nullptr) {
-        attemptLost(
-            *row, { ResultCode::UpstreamTimeout, "the upstream stopped sending data", std::nullopt }, now, commands);
+        replaceSilentAttempt(row, false, now, commands);
         return;
     }
-    row->phase = RequestPhase::Probing;
+    // The connection may be dead although the upstream is healthy; only a new connection can tell.
+    row.phase = RequestPhase::Probing;
     commands.emplace_back(UpstreamProbe { upstream->name, upstream->address });
 }
 
+void IngressSystem::replaceSilentAttempt(RequestRow &row, bool isUpstreamHealthy, TimePoint now, Commands &commands)
+{
+    const AttemptId attempt = row.running.attempt;
+    if (finisher_.completeIfOnlyEndIsMissing(row, now, commands)) {
+        commands.emplace_back(UpstreamCancel { attempt });
+        return;
+    }
+    if (row.attempts >= MaxAttempts) {
+        row.phase = RequestPhase::Running;
+        return;
+    }
+    if (!isUpstreamHealthy) {
+        row.excluded.push_back(row.running.upstream);
+    }
+    // The seat is freed first, since a healthy upstream may have no other one.
+    seats_.release(row, AttemptEnding::Lost, commands);
+    retry(row, silenceError(), now, commands);
+}
+
+void IngressSystem::keepSilentAttempt(RequestRow &row, TimePoint now, Commands &commands)
+{
+    if (row.phase == RequestPhase::WaitingForSeat) {
+        std::erase(row.excluded, row.running.upstream);
+        seats_.restore(row, now, commands);
+        Decision decision = makeDecision("silent_attempt_kept", row);
+        addField(decision, "attempt", row.running.attempt.text());
+        addField(decision, "upstream", row.running.upstream.text());
+        commands.emplace_back(std::move(decision));
+    }
+    row.phase = RequestPhase::Running;
+}
+
+void IngressSystem::endSilence(RequestRow &row, TimePoint now, Commands &commands)
+{
+    if (row.hasSilentAttempt()) {
+        keepSilentAttempt(row, now, commands);
+        row.running.silentSince.reset();
+    }
+}
+
 void IngressSystem::probed(const ProbeResult &result, TimePoint now, Commands &commands)
 {
     std::vector<RequestId> silentRequests;
@@ -416,13 +506,11 @@
         addField(decision, "upstream", result.upstream.text());
         addField(decision, "answers_anew", result.answered ? "true" : "false");
         commands.emplace_back(std::move(decision));
-        const Error cause { ResultCode::UpstreamTimeout, "the upstream stopped sending data", std::nullopt };
-        attemptLost(row, cause, now, commands, result.answered);
+        replaceSilentAttempt(row, result.answered, now, commands);
     }
 }
 
-void IngressSystem::attemptLost(
-    RequestRow &row, const Error &cause, TimePoint now, Commands &commands, bool isUpstreamHealthy)
+void IngressSystem::attemptLost(RequestRow &row, const Error &cause, TimePoint now, Commands &commands)
 {
     const RequestId request = row.call.request;
     if (!row.requestClass.idempotent) {
@@ -438,7 +526,7 @@
     if (finisher_.completeIfOnlyEndIsMissing(row, now, commands)) {
         return;
     }
-    if (!isUpstreamHealthy && !row.running.upstream.empty()) {
+    if (!row.running.upstream.empty()) {
         row.excluded.push_back(row.running.upstream);
     }
     seats_.end(row, AttemptEnding::Lost, 0, commands);
@@ -530,6 +618,9 @@
             expired.push_back(id);
             continue;
         }
+        if (row.phase == RequestPhase::WaitingForSeat && row.hasSilentAttempt()) {
+            continue;
+        }
         if (row.phase == RequestPhase::WaitingForSeat) {
             forwarder_.forwardIfQueueIsSlow(row, now, commands);
             continue;
@@ -542,6 +633,10 @@
     }
     for (const RequestId &id : expired) {
         RequestRow &row = *requests_.edit(id);
+        if (row.hasSilentAttempt()) {
+            keepSilentAttempt(row, now, commands);
+            continue;
+        }
         seats_.cancel(row, commands);
         finisher_.failRequest(
             row,
--- a/servers/ingress/ingress_system.h
+++ b/servers/ingress/ingress_system.h
@@ -67,9 +67,15 @@
     void requestSeat(RequestRow &row, TimePoint now, Commands &commands);
     void dispatch(RequestRow &row, TimePoint now, Commands &commands);
     void retry(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
-    /** `isUpstreamHealthy` is true if only the connection was lost, so that the same upstream may be used again. */
-    void attemptLost(
-        RequestRow &row, const Error &cause, TimePoint now, Commands &commands, bool isUpstreamHealthy = false);
+    void attemptLost(RequestRow &row, const Error &cause, TimePoint now, Commands &commands);
+    void attemptSilent(RequestRow &row, TimePoint now, Commands &commands);
+    /** Requests a seat that replaces a silent attempt; the attempt goes on until the seat is granted. The same upstream
+     *  may be used again if it is healthy. */
+    void replaceSilentAttempt(RequestRow &row, bool isUpstreamHealthy, TimePoint now, Commands &commands);
+    /** Gives up the replacement of a silent attempt. */
+    void keepSilentAttempt(RequestRow &row, TimePoint now, Commands &commands);
+    /** To be called whenever an attempt's upstream has sent something. */
+    void endSilence(RequestRow &row, TimePoint now, Commands &commands);
     void handleCompletionEvent(RequestRow &row, const std::string &data, TimePoint now, Commands &commands);
     void recordFirstToken(RequestRow &row, TimePoint now, Commands &commands);
 
--- a/servers/ingress/request_row.h
+++ b/servers/ingress/request_row.h
@@ -17,7 +17,7 @@
 enum class RequestPhase : std::uint8_t {
     /** Non-idempotent: its key is being looked up in the table service. */
     LookingUp,
-    /** Queued at a scheduler. */
+    /** Queued at a scheduler. An attempt that is silent goes on until the seat is granted. */
     WaitingForSeat,
     /** Non-idempotent: has a seat, its claim is being written. */
     Claiming,
@@ -46,6 +46,8 @@
     std::uint32_t tokens = 0;
     /** True once the caller has read too slowly during the attempt, which slows down the upstream's answer. */
     bool readerSlow = false;
+    /** Set while the upstream has sent nothing for longer than the silence limit. */
+    std::optional<TimePoint> silentSince;
     /** Nodes that track the attempt: the scheduler that granted it, and those it was registered with. */
     std::set<NodeName> trackingNodes;
 };
@@ -100,6 +102,9 @@
         return completion.has_value() && completion->maxTokens() > 0 && answer.tokens() >= completion->maxTokens();
     }
 
+    /** True if an attempt is open whose upstream is silent. */
+    bool hasSilentAttempt() const { return running.silentSince.has_value(); }
+
     bool streamed() const { return completion.has_value() && completion->streamed(); }
 };
 
--- a/servers/ingress/seat_client.cpp
+++ b/servers/ingress/seat_client.cpp
@@ -78,6 +78,22 @@
     requests_.setAttempt(row, RunningAttempt {});
 }
 
+void SeatClient::release(RequestRow &row, AttemptEnding ending, Commands &commands)
+{
+    for (const NodeName &node : row.running.trackingNodes) {
+        commands.emplace_back(PeerSend { node, makeEnd(row, ending, 0) });
+    }
+    row.running.trackingNodes.clear();
+}
+
+void SeatClient::restore(RequestRow &row, TimePoint now, Commands &commands)
+{
+    cancel(row, commands);
+    const NodeName scheduler = schedulerOf(row.running.shard);
+    row.running.trackingNodes = { scheduler };
+    commands.emplace_back(PeerSend { scheduler, makeRegistration(row, now) });
+}
+
 void SeatClient::reportProgress(const RequestRow &row, Commands &commands)
 {
     for (const NodeName &node : row.running.trackingNodes) {
--- a/servers/ingress/seat_client.h
+++ b/servers/ingress/seat_client.h
@@ -38,6 +38,12 @@
     /** Ends the row's attempt, if any, and frees its seat. */
     void end(RequestRow &row, AttemptEnding ending, std::uint32_t wastedTokens, Commands &commands);
 
+    /** Frees the seat of the row's attempt, which goes on until it is replaced or ended. */
+    void release(RequestRow &row, AttemptEnding ending, Commands &commands);
+
+    /** Leaves the scheduler's queue and occupies the seat of the row's attempt again. */
+    void restore(RequestRow &row, TimePoint now, Commands &commands);
+
     void reportProgress(const RequestRow &row, Commands &commands);
 
     /** Handles a change of the membership view: registers running attempts with the current schedulers and moves
--- a/tests/scenarios/fake_upstream.h
+++ b/tests/scenarios/fake_upstream.h
@@ -87,6 +87,7 @@
         /** The end of the answer has been sent to the node. */
         bool endSent = false;
         TimePoint lastByte;
+        TimePoint silenceReportedAt;
         std::string firstData;
     };
     using AttemptPtr = std::shared_ptr<Attempt>;
--- a/tests/servers/ingress/ingress_system_test.cpp
+++ b/tests/servers/ingress/ingress_system_test.cpp
@@ -179,6 +179,178 @@
     EXPECT_EQ(sent<SlotRequest>().back().deliveredTokens, 1u);
 }
 
+/** A stream whose upstream has sent nothing for its silence limit. */
+class SilentAttemptTest : public IngressFixture
+{
+protected:
+    void SetUp() override
+    {
+        request_ = sendChat("live");
+        attempt_ = grant(request_, "e1");
+        head(attempt_);
+        token(attempt_, "one ");
+        reportSilence();
+    }
+
+    void reportSilence()
+    {
+        ingress_.upstreamFailed({ attempt_, UpstreamFailure::Kind::Silent }, clock_.now(), commands_);
+    }
+
+    void answerProbe(bool answered) { ingress_.probed({ UpstreamName("e1"), answered }, clock_.now(), commands_); }
+
+    void refuseSeat()
+    {
+        SlotRefusal refusal;
+        refusal.request = request_;
+        refusal.code = ResultCode::Shed;
+        ingress_.slotRefused(self_, refusal, clock_.now(), commands_);
+    }
+
+    void expectWholeAnswerFrom(const AttemptId &attempt)
+    {
+        token(attempt, "two");
+        finishStream(attempt);
+        EXPECT_FALSE(last<ReplyError>().has_value());
+        EXPECT_TRUE(last<ReplyEnd>().has_value());
+        EXPECT_NE(repliedData().find("two"), std::string::npos);
+        EXPECT_EQ(ingress_.inFlight(), 0u);
+    }
+
+    RequestId request_;
+    AttemptId attempt_;
+};
+
+TEST_F(SilentAttemptTest, IsNotCancelledWhileItsUpstreamIsProbed)
+{
+    EXPECT_TRUE(last<UpstreamProbe>().has_value());
+    EXPECT_FALSE(last<UpstreamCancel>().has_value());
+    expectWholeAnswerFrom(attempt_);
+    answerProbe(false);
+    EXPECT_EQ(all<UpstreamDispatch>().size(), 1u);
+}
+
+TEST_F(SilentAttemptTest, GoesOnIfNoSeatIsGranted)
+{
+    for (const bool answered : { false, true }) {
+        answerProbe(answered);
+        refuseSeat();
+        ASSERT_FALSE(sent<AttemptRegistration>().empty());
+        EXPECT_EQ(sent<AttemptRegistration>().back().attempt, attempt_);
+        reportSilence();
+    }
+    EXPECT_FALSE(last<UpstreamCancel>().has_value());
+    expectWholeAnswerFrom(attempt_);
+    EXPECT_EQ(sent<AttemptEnd>().back().ending, AttemptEnding::Completed);
+}
+
+TEST_F(SilentAttemptTest, GoesOnIfNoSeatIsGrantedBeforeTheDeadline)
+{
+    answerProbe(false);
+    clock_.advance(std::chrono::seconds(31));
+    ingress_.tick(clock_.now(), commands_);
+    expectWholeAnswerFrom(attempt_);
+}
+
+TEST_F(SilentAttemptTest, IsCancelledOnlyOnceItsReplacementHasASeat)
+{
+    answerProbe(false);
+    EXPECT_EQ(sent<SlotRequest>().back().excluded, std::vector<UpstreamName> { UpstreamName("e1") });
+    EXPECT_EQ(sent<AttemptEnd>().back().ending, AttemptEnding::Lost);
+    EXPECT_FALSE(last<UpstreamCancel>().has_value());
+    const AttemptId second = grant(request_, "e2");
+    ASSERT_TRUE(last<UpstreamCancel>().has_value());
+    EXPECT_EQ(last<UpstreamCancel>()->attempt, attempt_);
+    EXPECT_EQ(last<UpstreamDispatch>()->attempt, second);
+    token(attempt_, "late");
+    head(second);
+    expectWholeAnswerFrom(second);
+    EXPECT_EQ(repliedData().find("late"), std::string::npos);
+}
+
+TEST_F(SilentAttemptTest, IsNotReplacedIfItsUpstreamRespondsBeforeTheGrant)
+{
+    answerProbe(false);
+    token(attempt_, "more ");
+    EXPECT_EQ(sent<SlotCancel>().size(), 1u);
+    ASSERT_FALSE(sent<AttemptRegistration>().empty());
+    EXPECT_EQ(sent<AttemptRegistration>().back().attempt, attempt_);
+    grant(request_, "e2");
+    EXPECT_EQ(sent<AttemptEnd>().back().ending, AttemptEnding::NotSent);
+    EXPECT_EQ(all<UpstreamDispatch>().size(), 1u);
+    expectWholeAnswerFrom(attempt_);
+}
+
+TEST_F(SilentAttemptTest, ThatBreaksIsReplacedWithTheSeatRequestedBefore)
+{
+    answerProbe(false);
+    const std::size_t asked = sent<SlotRequest>().size();
+    ingress_.upstreamFailed({ attempt_, UpstreamFailure::Kind::Broken }, clock_.now(), commands_);
+    EXPECT_EQ(sent<SlotRequest>().size(), asked);
+    const AttemptId second = grant(request_, "e2");
+    head(second);
+    expectWholeAnswerFrom(second);
+}
+
+TEST_F(SilentAttemptTest, GoesOnWithoutAttemptsLeft)
+{
+    for (int number = 0; number < 3; ++number) {
+        answerProbe(true);
+        attempt_ = grant(request_, "e1");
+        head(attempt_);
+        reportSilence();
+    }
+    const std::size_t cancels = all<UpstreamCancel>().size();
+    answerProbe(true);
+    EXPECT_EQ(all<UpstreamCancel>().size(), cancels);
+    expectWholeAnswerFrom(attempt_);
+}
+
+TEST_F(SilentAttemptTest, DoesNotGoOnForever)
+{
+    for (int number = 0; number < 6; ++number) {
+        answerProbe(false);
+        refuseSeat();
+        clock_.advance(std::chrono::seconds(3));
+        reportSilence();
+    }
+    EXPECT_EQ(last<UpstreamCancel>()->attempt, attempt_);
+    refuseSeat();
+    EXPECT_TRUE(last<ReplyError>().has_value());
+    EXPECT_EQ(ingress_.inFlight(), 0u);
+}
+
+TEST_F(SilentAttemptTest, LeavesNoWorkBehindIfTheCallerGoes)
+{
+    answerProbe(false);
+    ingress_.callerGone({ request_ }, clock_.now(), commands_);
+    EXPECT_EQ(last<UpstreamCancel>()->attempt, attempt_);
+    EXPECT_EQ(sent<SlotCancel>().size(), 1u);
+    EXPECT_EQ(ingress_.inFlight(), 0u);
+}
+
+TEST_F(SilentAttemptTest, FreesItsSeatIfTheCallerGoesDuringTheProbe)
+{
+    ingress_.callerGone({ request_ }, clock_.now(), commands_);
+    EXPECT_EQ(last<UpstreamCancel>()->attempt, attempt_);
+    ASSERT_FALSE(sent<AttemptEnd>().empty());
+    EXPECT_EQ(sent<AttemptEnd>().back().ending, AttemptEnding::Cancelled);
+}
+
+TEST_F(IngressSystemTest, SilentNonIdempotentCallIsCancelledAndNotRetried)
+{
+    const RequestId payment = send("payment", "/services/desk/pay", "{}", "key");
+    answerStore();
+    const AttemptId attempt = grant(payment, "d1");
+    answerStore();
+    const std::size_t asked = sent<SlotRequest>().size();
+    ingress_.upstreamFailed({ attempt, UpstreamFailure::Kind::Silent }, clock_.now(), commands_);
+    EXPECT_EQ(last<UpstreamCancel>()->attempt, attempt);
+    EXPECT_EQ(last<ReplyError>()->outcome, Outcome::Unknown);
+    EXPECT_EQ(sent<SlotRequest>().size(), asked);
+    EXPECT_EQ(all<UpstreamDispatch>().size(), 1u);
+}
+
 TEST_F(IngressSystemTest, RequestWithoutASeatIsRefusedAtItsDeadline)
 {
     sendChat("live");
