Read what has arrived before a time limit closes a caller's connection

Callers saw a connection close without an answer or a refusal, or got 408, although their request had arrived: the idle limit or the request limit ended while the process was paused or busy, and the timer's handler ran before the data was read.

Cause: CallerConnection::timerExpired closed idle connections and rejected incomplete requests without looking at the socket.

Change: if input is unread when the idle limit or the request limit ends, the timer is set again for 10 ms, in which the pending read reports it.

--- a/drivers/http/caller_connection.cpp
+++ b/drivers/http/caller_connection.cpp
@@ -19,6 +19,8 @@
 constexpr int SendBufferBytes = 64 * 1024;
 constexpr Duration ArrivalRetryAfter = std::chrono::seconds(1);
 constexpr Duration LingerTime = std::chrono::seconds(2);
+/** Time to read input that was found unread when a time limit ended. */
+constexpr Duration UnreadInputGrace = std::chrono::milliseconds(10);
 
 } // namespace
 
@@ -328,8 +330,18 @@
     });
 }
 
+bool CallerConnection::hasUnreadInput() const
+{
+    boost::system::error_code error;
+    return readPending_ && socket_.available(error) != 0 && !error;
+}
+
 void CallerConnection::timerExpired()
 {
+    if ((phase_ == Phase::Idle || phase_ == Phase::Reading) && hasUnreadInput()) {
+        armTimer(UnreadInputGrace);
+        return;
+    }
     if (phase_ == Phase::Reading) {
         answerInputError(Error { ResultCode::RequestTimeout, "The request was not received completely in time.", {} });
         return;
--- a/drivers/http/caller_connection.h
+++ b/drivers/http/caller_connection.h
@@ -87,6 +87,8 @@
     void lingerIfWritten();
     void written(bool succeeded);
     void handleCallerGone();
+    /** Input may have arrived while the process was paused. */
+    bool hasUnreadInput() const;
     void armTimer(Duration duration);
     void timerExpired();
 
--- a/tests/drivers/http/caller_server_test.cpp
+++ b/tests/drivers/http/caller_server_test.cpp
@@ -1,3 +1,5 @@
+#include <thread>
+
 #include <gtest/gtest.h>
 
 #include "drivers/http/http.h"
@@ -523,5 +525,66 @@
     EXPECT_EQ(server_.openRequests(), 0U);
 }
 
+/** The process is paused for longer than the time limits, while a caller goes on. */
+class PausedProcessTest : public CallerServerTest
+{
+protected:
+    static constexpr std::chrono::milliseconds TimeLimit { 300 };
+
+    static CallerServerSettings timeLimits()
+    {
+        CallerServerSettings settings = smallLimits();
+        settings.requestTimeout = TimeLimit;
+        settings.idleTimeout = TimeLimit;
+        return settings;
+    }
+
+    PausedProcessTest() : CallerServerTest(timeLimits()) { }
+
+    /** Opens more connections than one poll reports. */
+    void SetUp() override
+    {
+        CallerServerTest::SetUp();
+        for (std::size_t number = 0; number < 300; ++number) {
+            others_.push_back(RawConnection::open(loop_.context(), listener_.port()));
+            ASSERT_TRUE(await([&] { return listener_.connections().size() == number + 1; }));
+        }
+    }
+
+    /** The other connections become readable before the caller's. */
+    void sendAfterPause(const std::shared_ptr<RawConnection> &caller, const std::string &bytes)
+    {
+        std::this_thread::sleep_for(TimeLimit * 2);
+        for (const std::shared_ptr<RawConnection> &other : listener_.connections()) {
+            other->send("x");
+        }
+        caller->send(bytes);
+    }
+
+    RawListener listener_ { loop_.context() };
+    std::vector<std::shared_ptr<RawConnection>> others_;
+};
+
+TEST_F(PausedProcessTest, UnreadRequestOnAnIdleConnectionIsNotLost)
+{
+    const std::shared_ptr<RawConnection> caller = connect();
+    answerWhole(openRequest(caller), "first");
+    ASSERT_TRUE(awaitText(caller, "first"));
+    sendAfterPause(caller, "GET /v1/x HTTP/1.1\r\nHost: a\r\n\r\n");
+    ASSERT_TRUE(await([&] { return caller->ended() || log_.count<CallerRequest>() == 2; }));
+    EXPECT_EQ(log_.count<CallerRequest>(), 2U);
+}
+
+TEST_F(PausedProcessTest, UnreadRestOfARequestIsNotTimedOut)
+{
+    const std::shared_ptr<RawConnection> caller = connect();
+    caller->send("POST /v1/x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    ASSERT_TRUE(awaitText(caller, "100 Continue"));
+    sendAfterPause(caller, "abc");
+    ASSERT_TRUE(await([&] { return caller->ended() || log_.count<CallerRequest>() == 1; }));
+    EXPECT_EQ(log_.count<CallerRequest>(), 1U);
+    EXPECT_FALSE(caller->has("408"));
+}
+
 } // namespace
 } // namespace GeraniumLever
