Do not try to move silent requests that may go to no further upstream

What callers saw: nothing; found in the read-through. After a takeover, a request whose second upstream is silent, too, was tried at each tick since it may go back to the first one after a failure; a takeover never does that. Six such requests keep all later ones at their silent upstreams.

Cause: "may be sent again" and "may go to a new upstream" were one question before a request could go back to an upstream.

Change: mayUseNewUpstream tells them apart; a request that may go to no further upstream is not listed as silent, as before that change.

--- a/servers/relay/placement_query.cpp
+++ b/servers/relay/placement_query.cpp
@@ -22,8 +22,7 @@
     query.needsNotedVersion = row.beginsResumableStream();
     query.excluded = row.failedUpstreams;
     // A request goes back to an upstream only if its route allows no further one.
-    std::set<UpstreamName> &tried =
-        row.attemptsByUpstream.size() >= row.route->maxAttempts ? query.allowed.emplace() : query.excluded;
+    std::set<UpstreamName> &tried = mayUseNewUpstream(row) ? query.excluded : query.allowed.emplace();
     for (const auto &[upstream, attempts] : row.attemptsByUpstream) {
         tried.insert(upstream);
     }
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -690,7 +690,8 @@
     if (row.standby.has_value() && now >= row.standby->endsAt) {
         attempts_.cancelStandby(row, commands);
     }
-    if (now - row.progressAt < silenceLimitOf(row) || retryObstacleOf(row, now).has_value()) {
+    if (now - row.progressAt < silenceLimitOf(row) || !mayUseNewUpstream(row)
+        || retryObstacleOf(row, now).has_value()) {
         return;
     }
     if (!std::exchange(row.isSilent, true)) {
--- a/servers/relay/retry_rules.cpp
+++ b/servers/relay/retry_rules.cpp
@@ -28,7 +28,7 @@
 /** False if the request has been sent to as many upstreams as its route allows, and cannot go back to any of them. */
 bool mayUseUpstream(const RelayRow &row)
 {
-    if (row.attemptsByUpstream.size() < row.route->maxAttempts) {
+    if (mayUseNewUpstream(row)) {
         return true;
     }
     const bool isRunning = row.attempt != AttemptId();
@@ -47,6 +47,11 @@
     return now >= row.deadline || isWaitOver || isRunning;
 }
 
+bool mayUseNewUpstream(const RelayRow &row)
+{
+    return row.attemptsByUpstream.size() < row.route->maxAttempts;
+}
+
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now)
 {
     const bool attemptsExhausted = row.attempts >= row.route->maxAttempts * AttemptsPerUpstream
--- a/servers/relay/retry_rules.h
+++ b/servers/relay/retry_rules.h
@@ -17,6 +17,9 @@
 /** False if the request needs no check of its deadline, its wait or its upstream's silence now. */
 bool mayBeDue(const RelayRow &row, TimePoint now);
 
+/** False if the request has been sent to as many upstreams as its route allows. */
+bool mayUseNewUpstream(const RelayRow &row);
+
 /** Why the request may not be sent again; absent if it may. */
 std::optional<GiveUpReason> retryObstacleOf(const RelayRow &row, TimePoint now);
 
--- a/tests/servers/relay/silent_upstream_test.cpp
+++ b/tests/servers/relay/silent_upstream_test.cpp
@@ -133,6 +133,33 @@
     EXPECT_GE(countMoved(), 10);
 }
 
+TEST_F(SilentUpstreamTest, RequestsThatMayGoToNoFurtherUpstreamDoNotKeepOthersAtTheirSilentUpstreams)
+{
+    configure();
+    const std::map<UpstreamName, std::vector<RequestId>> streams = beginStreams(90);
+    std::vector<RequestId> goingOn;
+    for (const auto &[upstream, requests] : streams) {
+        if (upstream != UpstreamName("e1")) {
+            goingOn.insert(goingOn.end(), requests.begin(), requests.end());
+        }
+    }
+    pass(milliseconds(1000), goingOn);
+    for (const RequestId &moved : streams.at(UpstreamName("e1"))) {
+        ASSERT_EQ(dispatches(moved).size(), 2U);
+        answer(moved);
+    }
+    pass(milliseconds(900), goingOn);
+    const RequestId later = streams.at(UpstreamName("e9")).back();
+    for (const RequestId &stream : streams.at(UpstreamName("e9"))) {
+        std::erase(goingOn, stream);
+        if (stream != later) {
+            end(stream);
+        }
+    }
+    pass(milliseconds(1200), goingOn);
+    EXPECT_EQ(dispatches(later).size(), 2U);
+}
+
 class PausedNodeTest : public SilentUpstreamTest
 {
 protected:
