Read all responses through one parser, and reject those with an invalid status

What callers saw: an upstream's answer with status 000 (001, 099, 600, 999) reached them as an answer with that status, on every route. After a 103 callers got 502, or the 103 as the answer if it named the request; a 299 on a stream was held back to its end. geraniumctl reported a ticket as refused that may have been accepted, after an answer with status 000 and after any informational one, and the clients of the stores took a 100 or 103 for the answer.

Cause: the relay, the product's own nodes and the small client each drove the parser library on their own and trusted it with any three digits, and judged the class of a status by the library's enumeration, in which a number that it does not list is neither informational nor successful.

Evidence: the tests send raw bytes.

Change: ResponseParser reads responses for every client. It takes a status from 100 to 599 only, knows the class by the first digit, and skips informational responses within limits. A response that it rejects fails the attempt, which is sent to another upstream where the route allows it, and gets 502 otherwise; one line tells the reason (event=response_rejected) and the connection is closed. What is checked is decided before any client's logic sees the head, so that no client can differ.

--- a/drivers/http/http.h
+++ b/drivers/http/http.h
@@ -11,5 +11,7 @@
 #include "drivers/http/listener.h"
 #include "drivers/http/operator_server.h"
 #include "drivers/http/output_queue.h"
+#include "drivers/http/rejected_response.h"
 #include "drivers/http/request_parser.h"
+#include "drivers/http/response_parser.h"
 #include "drivers/http/upstream_client.h"
--- a/drivers/http/http_exchange.cpp
+++ b/drivers/http/http_exchange.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include <boost/beast/http/read.hpp>
+#include "drivers/http/rejected_response.h"
 
 namespace GeraniumLever {
 
@@ -10,8 +10,8 @@
 
 namespace http = boost::beast::http;
 
+constexpr std::size_t ReadBytes = 8 * 1024;
 constexpr std::size_t MaxAnswerBytes = 64 * 1024 * 1024;
-constexpr std::uint32_t MaxAnswerHeaderBytes = 64 * 1024;
 
 http::request<http::string_body> toMessage(const HttpRequest &request)
 {
@@ -40,14 +40,14 @@
     return lower;
 }
 
-HttpResponse toResponse(http::response<http::string_body> message)
+HttpResponse toResponse(ResponseParser &parser)
 {
     HttpResponse response;
-    response.status = message.result_int();
-    for (const http::fields::value_type &field : message) {
+    response.status = parser.status();
+    for (const http::fields::value_type &field : parser.head()) {
         response.headers.push_back(HeaderField { lowerCase(field.name_string()), std::string(field.value()) });
     }
-    response.body = std::move(message.body());
+    response.body = parser.takeBody();
     return response;
 }
 
@@ -57,6 +57,8 @@
                            std::shared_ptr<ConnectionPool> pool,
                            const HttpRequest &request)
     : pool_(pool)
+    , parser_(request.method == "HEAD", MaxAnswerBytes)
+    , target_(request.target)
     , timer_(context)
     , stallTimer_(context)
     , timeout_(request.timeout)
@@ -64,10 +66,6 @@
     , responseDelay_(request.responseDelay)
     , poolable_(!request.freshConnection)
 {
-    parser_.eager(true);
-    parser_.body_limit(MaxAnswerBytes);
-    parser_.header_limit(MaxAnswerHeaderBytes);
-    parser_.skip(request.method == "HEAD");
     sender_ = std::make_shared<RequestSender>(
         context,
         std::move(pool),
@@ -132,34 +130,42 @@
 
 void HttpExchange::read()
 {
-    http::async_read_some(connection_->socket(),
-                          connection_->input(),
-                          parser_,
-                          [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-                              self->received(error, bytes);
-                          });
+    connection_->socket().async_read_some(
+        connection_->input().prepare(ReadBytes),
+        [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+            self->received(error, bytes);
+        });
 }
 
 void HttpExchange::received(const boost::system::error_code &error, std::size_t bytes)
 {
+    if (error == boost::asio::error::eof && parser_.headComplete() && parser_.endsWithConnection()) {
+        complete();
+        return;
+    }
     if (error) {
         finish(HttpFailure::NoAnswer);
         return;
     }
-    if (parser_.is_done()) {
-        complete();
+    connection_->input().commit(bytes);
+    const std::optional<std::string> fault = parser_.feed(connection_->input());
+    if (fault.has_value()) {
+        logRejectedResponse(connection_->address(), target_, *fault);
+        finish(HttpFailure::NoAnswer);
         return;
     }
-    if (bytes != 0) {
-        restartStallTimer(Duration(0));
+    if (parser_.complete()) {
+        complete();
+        return;
     }
+    restartStallTimer(Duration(0));
     read();
 }
 
 void HttpExchange::complete()
 {
-    const bool reusable = poolable_ && parser_.keep_alive() && connection_->socket().is_open();
-    HttpResponse response = toResponse(parser_.release());
+    const bool reusable = poolable_ && parser_.keepAlive() && connection_->socket().is_open();
+    HttpResponse response = toResponse(parser_);
     if (reusable) {
         pool_->put(std::move(connection_));
     } else {
--- a/drivers/http/http_exchange.h
+++ b/drivers/http/http_exchange.h
@@ -6,11 +6,10 @@
 #include <optional>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include "drivers/http/http_client.h"
 #include "drivers/http/request_sender.h"
+#include "drivers/http/response_parser.h"
 
 namespace GeraniumLever {
 
@@ -29,8 +28,6 @@
     void abandon();
 
 private:
-    using ResponseParser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     /** Closes the connection when the timer expires. */
     void startTimer(boost::asio::steady_timer &timer, Duration limit);
     void restartStallTimer(Duration allowance);
@@ -44,6 +41,8 @@
     std::shared_ptr<RequestSender> sender_;
     std::shared_ptr<ClientConnection> connection_;
     ResponseParser parser_;
+    /** For the log. */
+    std::string target_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer stallTimer_;
     Duration timeout_;
--- /dev/null
+++ b/drivers/http/response_parser.cpp
@@ -0,0 +1,124 @@
+#include "drivers/http/response_parser.h"
+
+#include <utility>
+
+namespace GeraniumLever {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t MaxHeadBytes = 64 * 1024;
+/** Limits of what informational responses may precede the response. */
+constexpr unsigned MaxInformationalResponses = 500;
+constexpr std::size_t MaxInformationalBytes = 256 * 1024;
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+constexpr unsigned StatusesPerClass = 100;
+constexpr unsigned ClassInformational = 1;
+constexpr unsigned ClassSuccessful = 2;
+constexpr unsigned ClassServerError = 5;
+
+} // namespace
+
+ResponseParser::ResponseParser(bool headRequest, std::optional<std::uint64_t> maxBodyBytes)
+    : headRequest_(headRequest), maxBodyBytes_(maxBodyBytes)
+{
+    reset();
+}
+
+void ResponseParser::reset()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(MaxHeadBytes);
+    parser_->body_limit(maxBodyBytes_.has_value() ? boost::optional<std::uint64_t>(*maxBodyBytes_) : boost::none);
+    parser_->skip(headRequest_);
+    consumedBytes_ = 0;
+}
+
+std::optional<std::string> ResponseParser::feed(boost::beast::flat_buffer &input)
+{
+    while (input.size() != 0 && !complete()) {
+        boost::system::error_code error;
+        const std::size_t used = parser_->put(input.data(), error);
+        if (error && error != http::error::need_more) {
+            return "the response is malformed: " + error.message();
+        }
+        input.consume(used);
+        consumedBytes_ += headComplete_ ? 0 : used;
+        if (!headComplete_ && parser_->is_header_done()) {
+            std::optional<std::string> fault = finishHead();
+            if (fault.has_value()) {
+                return fault;
+            }
+        }
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (!complete() && input.size() > MaxHeadBytes) {
+        return "a part of the response that must arrive whole is too long";
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> ResponseParser::finishHead()
+{
+    std::optional<std::string> fault = checkStatus();
+    if (fault.has_value()) {
+        return fault;
+    }
+    if (parser_->get().result_int() / StatusesPerClass == ClassInformational) {
+        return skipInformationalResponse();
+    }
+    headComplete_ = true;
+    return std::nullopt;
+}
+
+std::optional<std::string> ResponseParser::skipInformationalResponse()
+{
+    informationalBytes_ += consumedBytes_;
+    if (++informationalResponses_ > MaxInformationalResponses || informationalBytes_ > MaxInformationalBytes) {
+        return "there are too many informational responses";
+    }
+    reset();
+    return std::nullopt;
+}
+
+std::optional<std::string> ResponseParser::checkStatus() const
+{
+    const unsigned status = parser_->get().result_int();
+    if (status < MinStatus || status > MaxStatus) {
+        return "the status is not between 100 and 599";
+    }
+    return std::nullopt;
+}
+
+bool ResponseParser::isSuccessful() const
+{
+    return statusClass() == ClassSuccessful;
+}
+
+bool ResponseParser::isServerError() const
+{
+    return statusClass() == ClassServerError;
+}
+
+unsigned ResponseParser::statusClass() const
+{
+    return status() / StatusesPerClass;
+}
+
+std::optional<std::uint64_t> ResponseParser::missingBodyBytes() const
+{
+    const boost::optional<std::uint64_t> missing = parser_->content_length_remaining();
+    return missing.has_value() ? std::optional<std::uint64_t>(*missing) : std::nullopt;
+}
+
+std::string ResponseParser::takeBody()
+{
+    return std::exchange(parser_->get().body(), {});
+}
+
+} // namespace GeraniumLever
--- a/drivers/http/upstream_exchange.cpp
+++ b/drivers/http/upstream_exchange.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/beast/core/string.hpp>
 
+#include "drivers/http/rejected_response.h"
+
 namespace GeraniumLever {
 
 namespace {
@@ -13,12 +15,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t ReadBytes = 8 * 1024;
-constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
-/** Maximum size of input that the parser has not been able to consume. */
-constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 constexpr std::size_t MaxEventBytes = 4 * 1024 * 1024;
-/** Maximum number of informational responses before the response. */
-constexpr unsigned MaxInformationalResponses = 100;
 constexpr std::string_view AttemptIdHeader = "X-Request-Id";
 constexpr std::string_view LeavingHeader = "Geranium-Leaving";
 constexpr std::string_view OutcomeHeader = "Geranium-Outcome";
@@ -66,6 +63,7 @@
                                    Sink sink,
                                    ClosedHandler closed)
     : pool_(pool)
+    , parser_(dispatch.method == "HEAD")
     , eventStreamParser_(MaxEventBytes)
     , timer_(context)
     , silenceLimit_(dispatch.silenceLimit)
@@ -74,9 +72,7 @@
     , onClosed_(std::move(closed))
     , poolable_(!dispatch.freshConnection)
     , streamRequested_(dispatch.streamed)
-    , headRequest_(dispatch.method == "HEAD")
 {
-    resetParser();
     sender_ = std::make_shared<RequestSender>(
         context,
         std::move(pool),
@@ -107,15 +103,6 @@
     }
 }
 
-void UpstreamExchange::resetParser()
-{
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(MaxHeaderBytes);
-    parser_->body_limit(boost::none);
-    parser_->skip(headRequest_);
-}
-
 void UpstreamExchange::sent(SendResult result)
 {
     sender_ = nullptr;
@@ -165,51 +152,27 @@
 
 bool UpstreamExchange::parse()
 {
-    boost::beast::flat_buffer &input = connection_->input();
-    while (input.size() != 0) {
-        boost::system::error_code error;
-        const std::size_t used = parser_->put(input.data(), error);
-        input.consume(used);
-        if (error && error != http::error::need_more) {
-            fail(UpstreamFailure::Kind::Broken);
-            return false;
-        }
-        if (!reportProgress()) {
-            return false;
-        }
-        if (error == http::error::need_more || used == 0) {
-            break;
-        }
-    }
-    if (input.size() > MaxUnparsedBytes) {
-        fail(UpstreamFailure::Kind::Broken);
+    const std::optional<std::string> fault = parser_.feed(connection_->input());
+    if (fault.has_value()) {
+        reject(*fault);
         return false;
     }
-    return true;
+    return reportProgress();
 }
 
 bool UpstreamExchange::reportProgress()
 {
-    if (!parser_->is_header_done()) {
-        return true;
-    }
-    if (http::to_status_class(parser_->get().result()) == http::status_class::informational) {
-        if (++informationalResponses_ > MaxInformationalResponses) {
-            fail(UpstreamFailure::Kind::Broken);
-            return false;
-        }
-        resetParser();
+    if (!parser_.headComplete()) {
         return true;
     }
     if (!headReported_) {
         reportHead();
     }
-    std::string piece;
-    piece.swap(parser_->get().body());
+    std::string piece = parser_.takeBody();
     if (!over_ && !piece.empty() && !reportBody(std::move(piece))) {
         return false;
     }
-    if (!over_ && parser_->is_done()) {
+    if (!over_ && parser_.complete()) {
         complete();
     }
     return !over_;
@@ -218,10 +181,10 @@
 void UpstreamExchange::reportHead()
 {
     headReported_ = true;
-    const http::response_header<> &header = parser_->get();
+    const ResponseParser::Head &header = parser_.head();
     UpstreamHead head;
     head.attempt = attempt_;
-    head.status = header.result_int();
+    head.status = parser_.status();
     head.contentType = std::string(header[http::field::content_type]);
     head.echoedAttempt = std::string(header[AttemptIdHeader]);
     head.leaving = boost::beast::iequals(header[LeavingHeader], "true");
@@ -245,7 +208,7 @@
         }
     });
     if (!over_ && !acceptable) {
-        fail(UpstreamFailure::Kind::Broken);
+        reject("an event does not end");
     }
     return !over_;
 }
@@ -260,7 +223,7 @@
     if (over_) {
         return;
     }
-    if (poolable_ && parser_->keep_alive()) {
+    if (poolable_ && parser_.keepAlive()) {
         pool_->put(std::move(connection_));
         connection_ = nullptr;
     }
@@ -275,6 +238,12 @@
     }
 }
 
+void UpstreamExchange::reject(std::string_view reason)
+{
+    logRejectedResponse(connection_->address(), attempt_.text(), reason);
+    fail(UpstreamFailure::Kind::Broken);
+}
+
 bool UpstreamExchange::close()
 {
     if (over_) {
--- a/drivers/http/upstream_exchange.h
+++ b/drivers/http/upstream_exchange.h
@@ -7,11 +7,10 @@
 #include <optional>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 
-#include "drivers/http/append_body.h"
 #include "drivers/http/event_stream_parser.h"
 #include "drivers/http/request_sender.h"
+#include "drivers/http/response_parser.h"
 #include "drivers/http/upstream_client.h"
 
 namespace GeraniumLever {
@@ -40,10 +39,8 @@
     void setReading(bool enabled);
 
 private:
-    using ResponseParser = boost::beast::http::response_parser<AppendBody>;
     using SteadyTime = std::chrono::steady_clock::time_point;
 
-    void resetParser();
     void sent(SendResult result);
     void read();
     void received(const boost::system::error_code &error, std::size_t bytes);
@@ -55,6 +52,8 @@
     bool reportBody(std::string piece);
     void complete();
     void fail(UpstreamFailure::Kind kind);
+    /** Fails because the response cannot be trusted. */
+    void reject(std::string_view reason);
     /** Marks the exchange as over; false if it already was. */
     bool close();
     void armTimer(SteadyTime deadline);
@@ -64,7 +63,7 @@
     std::shared_ptr<ConnectionPool> pool_;
     std::shared_ptr<RequestSender> sender_;
     std::shared_ptr<ClientConnection> connection_;
-    std::optional<ResponseParser> parser_;
+    ResponseParser parser_;
     EventStreamParser eventStreamParser_;
     boost::asio::steady_timer timer_;
     SteadyTime lastActivity_;
@@ -74,9 +73,7 @@
     ClosedHandler onClosed_;
     bool poolable_;
     bool streamRequested_;
-    bool headRequest_;
     bool eventStream_ = false;
-    unsigned informationalResponses_ = 0;
     bool headReported_ = false;
     bool reading_ = true;
     bool readPending_ = false;
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -14,7 +14,6 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t ReadBytes = 8 * 1024;
-constexpr std::uint32_t MaxHeaderBytes = 64 * 1024;
 /** Responses up to this size are buffered and forwarded only once complete, so that a broken one can be replaced by
  * that of another attempt. */
 constexpr std::size_t MaxBufferedBodyBytes = 256 * 1024;
@@ -26,7 +25,6 @@
 constexpr std::size_t MaxSkippedBytes = 256 * 1024;
 /** Fraction of the stated idle limit that is used, since the upstream starts counting earlier. */
 constexpr double IdleLimitFraction = 0.6;
-constexpr unsigned StatusContinue = 100;
 constexpr std::string_view EventStreamType = "text/event-stream";
 
 /** Seconds of the "timeout=N" parameter of a Keep-Alive field. */
@@ -46,28 +44,22 @@
     return std::chrono::seconds(seconds);
 }
 
-template<typename Parser>
-BodyFraming framingOf(const Parser &parser)
+BodyFraming framingOf(const ResponseParser &parser)
 {
-    if (parser.need_eof()) {
+    if (parser.endsWithConnection()) {
         return BodyFraming::Connection;
     }
-    return parser.chunked() ? BodyFraming::Chunked : BodyFraming::Length;
-}
-
-bool isSuccessful(const http::response_header<> &header)
-{
-    return http::to_status_class(header.result()) == http::status_class::successful;
+    return parser.isChunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
 /** True if the body consists of server-sent events, which a response on a streamed route is assumed to do unless it
  *  states another type. */
-bool isEventStream(const http::response_header<> &header, bool streamed)
+bool isEventStream(const ResponseParser &parser, bool streamed)
 {
-    if (!isSuccessful(header) || header.count(http::field::content_encoding) != 0) {
+    if (!parser.isSuccessful() || parser.head().count(http::field::content_encoding) != 0) {
         return false;
     }
-    const std::string_view type = header[http::field::content_type];
+    const std::string_view type = parser.head()[http::field::content_type];
     return type.empty() ? streamed : boost::beast::iequals(type.substr(0, EventStreamType.size()), EventStreamType);
 }
 
@@ -217,7 +209,7 @@
     }
     if (error) {
         // A body without a stated length ends when the connection is closed, but only if it was closed gracefully.
-        if (error == boost::asio::error::eof && headParsed_ && !skipResponse_ && parser_->need_eof()) {
+        if (error == boost::asio::error::eof && headParsed_ && !skipResponse_ && parser_->endsWithConnection()) {
             complete();
             return;
         }
@@ -231,11 +223,7 @@
 
 void RelayExchange::resetParser()
 {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->header_limit(MaxHeaderBytes);
-    parser_->body_limit(boost::none);
-    parser_->skip(call_->method == "HEAD");
+    parser_.emplace(call_->method == "HEAD");
     headParsed_ = false;
     skipResponse_ = false;
 }
@@ -244,39 +232,31 @@
 {
     boost::beast::flat_buffer &input = connection_->input();
     while (input.size() != 0) {
-        boost::system::error_code error;
-        const std::size_t used = parser_->put(input.data(), error);
-        input.consume(used);
-        if (error && error != http::error::need_more) {
-            fail(RelayFailure::Kind::InvalidResponse);
+        const std::size_t unparsed = input.size();
+        const std::optional<std::string> fault = parser_->feed(input);
+        if (fault.has_value()) {
+            reject(RelayFailure::Kind::InvalidResponse, *fault);
             return;
         }
-        if (parser_->is_header_done() && !headParsed_ && !processHead()) {
+        if (parser_->headComplete() && !headParsed_ && !processHead()) {
             return;
         }
-        skippedBytes_ += skipResponse_ ? used : 0;
+        skippedBytes_ += skipResponse_ ? unparsed - input.size() : 0;
         if (skippedBytes_ > MaxSkippedBytes) {
-            fail(RelayFailure::Kind::InvalidResponse);
+            reject(RelayFailure::Kind::InvalidResponse, "responses to other requests do not end");
             return;
         }
         if (headParsed_ && !processBody()) {
             return;
         }
-        if (parser_->is_done()) {
-            if (!skipResponse_ && headParsed_) {
-                complete();
-                return;
-            }
-            resetParser();
-            continue;
-        }
-        if (error == http::error::need_more || used == 0) {
+        if (!parser_->complete()) {
             break;
         }
-    }
-    if (input.size() > MaxHeaderBytes) {
-        fail(RelayFailure::Kind::InvalidResponse);
-        return;
+        if (!skipResponse_) {
+            complete();
+            return;
+        }
+        resetParser();
     }
     reportHeldBack();
     read();
@@ -284,37 +264,30 @@
 
 bool RelayExchange::processHead()
 {
-    const http::response_header<> &header = parser_->get();
-    if (http::to_status_class(header.result()) == http::status_class::informational
-        && header.result_int() >= StatusContinue) {
-        // parse() detects the end of an informational response with is_done().
-        headParsed_ = true;
-        skipResponse_ = true;
-        return true;
-    }
+    const ResponseParser::Head &header = parser_->head();
     headParsed_ = true;
     if (!reportNotice()) {
         return false;
     }
-    head_ = codec_.decodeHead(header.result_int(), header);
+    head_ = codec_.decodeHead(parser_->status(), header);
     head_.attempt = dispatch_.attempt;
     head_.framing = framingOf(*parser_);
     head_.connectionReused = pooled_;
     if (!codec_.matchesRequest(*call_, head_, header)) {
         skipResponse_ = true;
         if (!pooled_) {
-            fail(RelayFailure::Kind::InvalidResponse);
+            reject(RelayFailure::Kind::InvalidResponse, "the response does not name the request");
             return false;
         }
         return true;
     }
-    response_.status = header.result_int();
+    response_.status = parser_->status();
     response_.reason = std::string(header.reason());
     response_.fields = header;
     removeHopByHopFields(response_.fields);
-    eventStream_ = isEventStream(header, dispatch_.streamed);
+    eventStream_ = isEventStream(*parser_, dispatch_.streamed);
     head_.resumable = forwardsWholeEvents();
-    const bool forwardsImmediately = dispatch_.streamed && isSuccessful(header);
+    const bool forwardsImmediately = dispatch_.streamed && parser_->isSuccessful();
     if (!forwardsImmediately && !head_.notRun) {
         return true;
     }
@@ -324,7 +297,7 @@
 
 bool RelayExchange::reportNotice()
 {
-    UpstreamNotice notice = codec_.decodeNotice(parser_->get().result_int(), parser_->get());
+    UpstreamNotice notice = codec_.decodeNotice(parser_->status(), parser_->head());
     if (!notice.empty()) {
         notice.attempt = dispatch_.attempt;
         notice.sinceLoss = sinceLoss();
@@ -350,8 +323,7 @@
 
 bool RelayExchange::processBody()
 {
-    std::string piece;
-    piece.swap(parser_->get().body());
+    std::string piece = parser_->takeBody();
     if (skipResponse_ || piece.empty()) {
         return true;
     }
@@ -374,8 +346,7 @@
 
 void RelayExchange::reportHeldBack()
 {
-    if (!headParsed_ || skipResponse_ || headForwarded_
-        || http::to_status_class(parser_->get().result()) == http::status_class::server_error) {
+    if (!headParsed_ || skipResponse_ || headForwarded_ || parser_->isServerError()) {
         return;
     }
     if (!reportedBytes_.has_value()) {
@@ -389,7 +360,7 @@
 
 bool RelayExchange::isArrivingInTime() const
 {
-    const boost::optional<std::uint64_t> rest = parser_->content_length_remaining();
+    const std::optional<std::uint64_t> rest = parser_->missingBodyBytes();
     if (!rest.has_value()) {
         return bufferedBody_.size() >= *reportedBytes_ + MinReportedBytes;
     }
@@ -406,7 +377,7 @@
         piece = framer_.feed(piece);
     }
     if (framer_.bytesSinceEvent() > MaxEventBytes) {
-        fail(RelayFailure::Kind::InvalidResponse);
+        reject(RelayFailure::Kind::InvalidResponse, "an event does not end");
         return;
     }
     if (!piece.empty()) {
@@ -422,14 +393,14 @@
 bool RelayExchange::isCutOff() const
 {
     // A connection that ends the body ends the same way if the upstream dies.
-    const bool neverBegan = eventStream_ && parser_->need_eof() && !framer_.hasCompleteEvent();
+    const bool neverBegan = eventStream_ && parser_->endsWithConnection() && !framer_.hasCompleteEvent();
     return framer_.isInsideEvent() || neverBegan;
 }
 
 void RelayExchange::complete()
 {
     if (isCutOff()) {
-        fail(RelayFailure::Kind::Broken);
+        reject(RelayFailure::Kind::Broken, "the response ends inside an event or before the first one");
         return;
     }
     const std::shared_ptr<RelayExchange> self = shared_from_this();
@@ -446,9 +417,9 @@
     // Input beyond the response, or a request body that is not fully sent, would be taken for part of the next
     // exchange.
     const bool isReusable = !writing_ && connection_->input().size() == 0;
-    if (isReusable && parser_->keep_alive() && !parser_->need_eof()) {
+    if (isReusable && parser_->keepAlive()) {
         const std::optional<std::chrono::seconds> keepAliveTimeout =
-            parseKeepAliveTimeout(parser_->get()[http::field::keep_alive]);
+            parseKeepAliveTimeout(parser_->head()[http::field::keep_alive]);
         const std::chrono::duration<double> limit = keepAliveTimeout.has_value()
             ? *keepAliveTimeout * IdleLimitFraction
             : std::chrono::duration<double>(DefaultIdleLimit);
@@ -467,6 +438,12 @@
     }
 }
 
+void RelayExchange::reject(RelayFailure::Kind kind, std::string_view reason)
+{
+    logRejectedResponse(dispatch_.upstream.text(), call_->attributes.callerId, reason);
+    fail(kind);
+}
+
 bool RelayExchange::abort()
 {
     // A request that is given up must not reach the upstream later, when a broken link is back.
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include "drivers/http/http.h"
 #include "drivers/relay/event_framer.h"
@@ -58,8 +57,6 @@
     void setReading(bool enabled);
 
 private:
-    using Parser = boost::beast::http::response_parser<AppendBody>;
-
     void connect();
     void connected(const boost::system::error_code &error);
     void send();
@@ -86,6 +83,8 @@
     bool isCutOff() const;
     void complete();
     void fail(RelayFailure::Kind kind);
+    /** Fails because the response cannot be trusted. */
+    void reject(RelayFailure::Kind kind, std::string_view reason);
     /** Both return false if the exchange has finished. */
     bool close();
     bool abort();
@@ -101,7 +100,7 @@
     std::shared_ptr<ClientConnection> connection_;
     boost::asio::steady_timer timer_;
     std::string output_;
-    std::optional<Parser> parser_;
+    std::optional<ResponseParser> parser_;
     EventFramer framer_;
     RelayResponseHead head_;
     RelayResponse response_;
@@ -120,7 +119,7 @@
     bool headParsed_ = false;
     bool headForwarded_ = false;
     bool eventStream_ = false;
-    /** The response is discarded: it is informational, or belongs to an earlier request. */
+    /** The response is discarded: it belongs to an earlier request. */
     bool skipResponse_ = false;
     std::size_t skippedBytes_ = 0;
     bool writing_ = false;
--- /dev/null
+++ b/tests/drivers/http/raw_responses.h
@@ -0,0 +1,87 @@
+/** Responses in raw bytes, for tests of everything that reads responses. */
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace GeraniumLever {
+
+struct RawResponse
+{
+    /** Letters and digits only, as GoogleTest requires of names. */
+    std::string name;
+    std::string bytes;
+    /** What a client must get; empty for a response that must be rejected. */
+    unsigned status = 0;
+    std::string body {};
+};
+
+inline std::string nameOf(const RawResponse &response)
+{
+    return response.name;
+}
+
+inline std::ostream &operator<<(std::ostream &stream, const RawResponse &response)
+{
+    return stream << response.name;
+}
+
+/** A response with a body of five bytes. fields: further header lines with their line ends. */
+inline std::string helloWith(const std::string &statusLine, const std::string &fields = "")
+{
+    return "HTTP/1.1 " + statusLine + "\r\n" + fields + "Content-Length: 5\r\n\r\nhello";
+}
+
+/** A response whose body of five bytes comes in one chunk. */
+inline std::string chunkedHelloWith(const std::string &fields, const std::string &trailer = "")
+{
+    return "HTTP/1.1 200 OK\r\n" + fields + "\r\n5\r\nhello\r\n0\r\n" + trailer + "\r\n";
+}
+
+/** Responses that no client may take for an answer. */
+inline std::vector<RawResponse> invalidResponses()
+{
+    return {
+        { "Status000", helloWith("000 X") }, { "Status001", helloWith("001 X") }, { "Status099", helloWith("099 X") },
+        { "Status600", helloWith("600 X") }, { "Status999", helloWith("999 X") },
+    };
+}
+
+/** Unusual responses that every client must take. */
+inline std::vector<RawResponse> unusualResponses()
+{
+    return {
+        { "NoReason", helloWith("200 "), 200, "hello" },
+        { "HighBytesInTheReason", helloWith("200 \xc3\xa9"), 200, "hello" },
+        { "HighBytesInAValue", helloWith("200 OK", "X-Note: caf\xc3\xa9 \xff\r\n"), 200, "hello" },
+        { "TabInAValue", helloWith("200 OK", "X-Note: a\tb\r\n"), 200, "hello" },
+        { "ValueThatIsEmpty", helloWith("200 OK", "X-Note:\r\n"), 200, "hello" },
+        { "UnusualNames", helloWith("200 OK", "!#$%&'*+-.^_`|~09azAZ: x\r\n"), 200, "hello" },
+        { "SameLengthTwice", helloWith("200 OK", "Content-Length: 5\r\n"), 200, "hello" },
+        { "ChunksInCapitals", chunkedHelloWith("Transfer-Encoding: CHUNKED\r\n"), 200, "hello" },
+        { "ChunkExtension",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nhello\r\n0\r\n\r\n",
+          200,
+          "hello" },
+        { "Trailer", chunkedHelloWith("Transfer-Encoding: chunked\r\n", "X-Note: x\r\n"), 200, "hello" },
+        { "Version10", "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nhello", 200, "hello" },
+        { "Status100First", "HTTP/1.1 100 Continue\r\n\r\n" + helloWith("200 OK"), 200, "hello" },
+        { "Status102First", "HTTP/1.1 102 Processing\r\n\r\n" + helloWith("200 OK"), 200, "hello" },
+        { "Status103First", "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + helloWith("200 OK"), 200, "hello" },
+        { "Status199First", "HTTP/1.1 199 X\r\n\r\n" + helloWith("200 OK"), 200, "hello" },
+        { "SeveralInformationalResponsesFirst",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: x\r\n\r\nHTTP/1.1 103 Early\r\n\r\n"
+              + helloWith("200 OK"),
+          200,
+          "hello" },
+        { "Status204", "HTTP/1.1 204 None\r\n\r\n", 204, "" },
+        { "Status204WithLength0", "HTTP/1.1 204 None\r\nContent-Length: 0\r\n\r\n", 204, "" },
+        { "Status304WithALength", "HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\n", 304, "" },
+        { "Status299", helloWith("299 X"), 299, "hello" },
+        { "Status418", helloWith("418 X"), 418, "hello" },
+        { "Status599", helloWith("599 X"), 599, "hello" },
+    };
+}
+
+} // namespace GeraniumLever
--- /dev/null
+++ b/tests/drivers/http/response_test.cpp
@@ -0,0 +1,210 @@
+#include <gtest/gtest.h>
+
+#include "drivers/http/http.h"
+#include "tests/drivers/http/event_log.h"
+#include "tests/drivers/http/event_loop.h"
+#include "tests/drivers/http/raw_listener.h"
+#include "tests/drivers/http/raw_responses.h"
+
+namespace GeraniumLever {
+namespace {
+
+/** A server responds with raw bytes to the client for short requests. */
+class HttpClientResponseTest : public testing::Test
+{
+protected:
+    void send(const std::string &body = "", const std::string &method = "POST")
+    {
+        HttpRequest request;
+        request.address = listener_.address();
+        request.method = method;
+        request.target = "/" + std::to_string(++sent_);
+        request.body = body;
+        request.timeout = std::chrono::seconds(20);
+        client_.send(request, [this](HttpResult result) { results_.push_back(std::move(result)); });
+    }
+
+    RawConnection &peer() { return *listener_.connections().back(); }
+
+    bool awaitRequest()
+    {
+        const std::string target = "/" + std::to_string(sent_) + " ";
+        return loop_.runUntil([&]() { return !listener_.connections().empty() && peer().has(target); });
+    }
+
+    bool awaitResult()
+    {
+        return loop_.runUntil([this]() { return results_.size() == sent_; });
+    }
+
+    EventLoop loop_;
+    RawListener listener_ { loop_.context() };
+    HttpClient client_ { loop_.context() };
+    std::size_t sent_ = 0;
+    std::vector<HttpResult> results_;
+};
+
+class InvalidHttpClientResponseTest : public HttpClientResponseTest, public testing::WithParamInterface<RawResponse>
+{
+};
+
+TEST_P(InvalidHttpClientResponseTest, IsNoAnswerAndItsConnectionIsNotUsedAgain)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send(GetParam().bytes);
+    ASSERT_TRUE(awaitResult());
+    ASSERT_EQ(results_.back(), HttpResult(HttpFailure::NoAnswer));
+    EXPECT_TRUE(loop_.runUntil([this]() { return peer().ended(); }));
+    send();
+    ASSERT_TRUE(awaitRequest());
+    EXPECT_EQ(listener_.connections().size(), 2U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses,
+                         InvalidHttpClientResponseTest,
+                         testing::ValuesIn(invalidResponses()),
+                         [](const auto &info) { return info.param.name; });
+
+class UnusualHttpClientResponseTest : public HttpClientResponseTest, public testing::WithParamInterface<RawResponse>
+{
+};
+
+TEST_P(UnusualHttpClientResponseTest, IsDelivered)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send(GetParam().bytes);
+    ASSERT_TRUE(awaitResult());
+    const HttpResponse *response = std::get_if<HttpResponse>(&results_.back());
+    ASSERT_NE(response, nullptr);
+    EXPECT_EQ(response->status, GetParam().status);
+    EXPECT_EQ(response->body, GetParam().body);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses,
+                         UnusualHttpClientResponseTest,
+                         testing::ValuesIn(unusualResponses()),
+                         [](const auto &info) { return info.param.name; });
+
+TEST_F(HttpClientResponseTest, BodyThatEndsWithTheConnectionIsDelivered)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send("HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().close();
+    ASSERT_TRUE(awaitResult());
+    const HttpResponse *response = std::get_if<HttpResponse>(&results_.back());
+    ASSERT_NE(response, nullptr);
+    EXPECT_EQ(response->body, "hello");
+}
+
+TEST_F(HttpClientResponseTest, BodyThatIsLargerThanTheLimitIsNoAnswer)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send("HTTP/1.1 200 OK\r\nContent-Length: 67108865\r\n\r\n");
+    ASSERT_TRUE(awaitResult());
+    EXPECT_EQ(results_.back(), HttpResult(HttpFailure::NoAnswer));
+}
+
+/** An upstream responds with raw bytes to a node of the product. */
+class UpstreamResponseTest : public testing::Test
+{
+protected:
+    void dispatch(bool streamed = false, const std::string &body = "")
+    {
+        UpstreamDispatch dispatch;
+        dispatch.attempt = AttemptId(1, ++sent_);
+        dispatch.target = "engine-1";
+        dispatch.address = listener_.address();
+        dispatch.method = "POST";
+        dispatch.path = "/" + std::to_string(sent_);
+        dispatch.body = body;
+        dispatch.streamed = streamed;
+        dispatch.silenceLimit = std::chrono::seconds(20);
+        client_.dispatch(dispatch);
+    }
+
+    RawConnection &peer() { return *listener_.connections().back(); }
+
+    bool awaitRequest()
+    {
+        const std::string target = "/" + std::to_string(sent_) + " ";
+        return loop_.runUntil([&]() { return !listener_.connections().empty() && peer().has(target); });
+    }
+
+    bool awaitEnd()
+    {
+        return loop_.runUntil([this]() { return log_.count<UpstreamEnd>() + log_.count<UpstreamFailure>() == sent_; });
+    }
+
+    void expectWholeAnswer(unsigned status, const std::string &body)
+    {
+        ASSERT_TRUE(awaitEnd());
+        EXPECT_EQ(log_.count<UpstreamFailure>(), 0U);
+        ASSERT_EQ(log_.count<UpstreamHead>(), 1U);
+        EXPECT_EQ(log_.all<UpstreamHead>()[0].status, status);
+        std::string received;
+        for (const UpstreamData &data : log_.all<UpstreamData>()) {
+            received += data.data;
+        }
+        EXPECT_EQ(received, body);
+    }
+
+    EventLoop loop_;
+    RawListener listener_ { loop_.context() };
+    EventLog log_;
+    UpstreamClient client_ { UpstreamClientSettings(), loop_.context(), log_.sink() };
+    std::size_t sent_ = 0;
+};
+
+class InvalidUpstreamResponseTest : public UpstreamResponseTest, public testing::WithParamInterface<RawResponse>
+{
+protected:
+    void expectRejected(bool streamed)
+    {
+        dispatch(streamed);
+        ASSERT_TRUE(awaitRequest());
+        peer().send(GetParam().bytes);
+        ASSERT_TRUE(awaitEnd());
+        ASSERT_TRUE(log_.contains(UpstreamFailure { AttemptId(1, 1), UpstreamFailure::Kind::Broken }));
+        EXPECT_EQ(log_.count<UpstreamHead>(), 0U);
+        EXPECT_TRUE(loop_.runUntil([this]() { return peer().ended(); }));
+    }
+};
+
+TEST_P(InvalidUpstreamResponseTest, BreaksTheAttempt)
+{
+    expectRejected(false);
+}
+
+TEST_P(InvalidUpstreamResponseTest, BreaksTheAttemptOfAStream)
+{
+    expectRejected(true);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses,
+                         InvalidUpstreamResponseTest,
+                         testing::ValuesIn(invalidResponses()),
+                         [](const auto &info) { return info.param.name; });
+
+class UnusualUpstreamResponseTest : public UpstreamResponseTest, public testing::WithParamInterface<RawResponse>
+{
+};
+
+TEST_P(UnusualUpstreamResponseTest, IsReported)
+{
+    dispatch();
+    ASSERT_TRUE(awaitRequest());
+    peer().send(GetParam().bytes);
+    expectWholeAnswer(GetParam().status, GetParam().body);
+}
+
+INSTANTIATE_TEST_SUITE_P(Responses,
+                         UnusualUpstreamResponseTest,
+                         testing::ValuesIn(unusualResponses()),
+                         [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace GeraniumLever
