Never take a response for complete after a write on its connection has failed

What callers saw: an upstream answers a long upload at once with a 200 that has no length, sends part of the body and resets the connection while the upload is still being written; the caller got that part as a complete answer, on all kinds of routes.

Cause: a write that is pending when the reset arrives takes the socket's error, so that the read after it sees a graceful end, which ends a body without a length. RelayExchange::sent ignored the error of the write once part of the response had come or a read was pending.

Change: the connection remembers that a write has failed; a body that ends with its connection is complete only if none has. The attempt is broken then, with its reason in the log. Why it works: the error is taken either by the write, which notes it, or by the read, which reports it; the system hands it out once.

--- a/drivers/http/client_connection.h
+++ b/drivers/http/client_connection.h
@@ -36,6 +36,11 @@
     std::chrono::steady_clock::duration idleLimit() const { return idleLimit_; }
     void setIdleLimit(std::chrono::steady_clock::duration limit) { idleLimit_ = limit; }
 
+    /** Records that writing has failed. The failed write takes the socket's error, so that a read after it may report a
+     *  graceful end of a connection that was reset. */
+    void noteWriteFailure() { writeFailed_ = true; }
+    bool hasWriteFailed() const { return writeFailed_; }
+
     /** True if the peer has closed or reset the connection. Does not block. */
     bool isClosedByPeer();
 
@@ -55,6 +60,7 @@
     std::optional<std::chrono::steady_clock::time_point> precedingLoss_;
     Socket socket_;
     boost::beast::flat_buffer input_;
+    bool writeFailed_ = false;
     std::chrono::steady_clock::duration idleLimit_ = std::chrono::seconds(15);
 };
 
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -181,8 +181,12 @@
 void RelayExchange::sent(const boost::system::error_code &error)
 {
     writing_ = false;
+    if (!error || finished_) {
+        return;
+    }
+    connection_->noteWriteFailure();
     // An upstream that rejects a long body closes the connection early; its response may still arrive.
-    if (error && !finished_ && !headParsed_ && !readPending_) {
+    if (!headParsed_ && !readPending_) {
         pool_->noteLoss(dispatch_.address);
         fail(RelayFailure::Kind::Broken);
     }
@@ -209,11 +213,16 @@
     }
     if (error) {
         // A body without a stated length ends when the connection is closed, but only if it was closed gracefully.
-        if (error == boost::asio::error::eof && headParsed_ && !skipResponse_ && parser_->endsWithConnection()) {
+        const bool endsHere = headParsed_ && !skipResponse_ && parser_->endsWithConnection();
+        if (endsHere && error == boost::asio::error::eof && !connection_->hasWriteFailed()) {
             complete();
             return;
         }
         pool_->noteLoss(dispatch_.address);
+        if (endsHere) {
+            reject(RelayFailure::Kind::Broken, "the connection that ends the body was reset");
+            return;
+        }
         fail(RelayFailure::Kind::Broken);
         return;
     }
--- a/tests/drivers/http/raw_connection.cpp
+++ b/tests/drivers/http/raw_connection.cpp
@@ -36,6 +36,12 @@
     boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
 }
 
+void RawConnection::shutDownSend()
+{
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void RawConnection::close()
 {
     boost::system::error_code ignored;
--- a/tests/drivers/http/raw_connection.h
+++ b/tests/drivers/http/raw_connection.h
@@ -25,6 +25,9 @@
     /** Blocks until the operating system has accepted every byte. */
     void send(const std::string &bytes);
 
+    /** Ends the sending direction only. */
+    void shutDownSend();
+
     /** Closes the connection; the peer sees an orderly end. */
     void close();
 
--- a/tests/drivers/http/response_test.cpp
+++ b/tests/drivers/http/response_test.cpp
@@ -9,6 +9,8 @@
 namespace GeraniumLever {
 namespace {
 
+constexpr std::size_t UploadBytes = 16 * 1024 * 1024;
+
 /** A server responds with raw bytes to the client for short requests. */
 class HttpClientResponseTest : public testing::Test
 {
@@ -99,6 +101,27 @@
     EXPECT_EQ(response->body, "hello");
 }
 
+TEST_F(HttpClientResponseTest, BodyThatEndsWithAResetIsNoAnswer)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send("HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().reset();
+    ASSERT_TRUE(awaitResult());
+    EXPECT_EQ(results_.back(), HttpResult(HttpFailure::NoAnswer));
+}
+
+TEST_F(HttpClientResponseTest, BodyThatEndsWithAResetDuringTheUploadIsNoAnswer)
+{
+    send(std::string(UploadBytes, 'u'));
+    ASSERT_TRUE(awaitRequest());
+    peer().pauseReading();
+    peer().send("HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().reset();
+    ASSERT_TRUE(awaitResult());
+    EXPECT_EQ(results_.back(), HttpResult(HttpFailure::NoAnswer));
+}
+
 TEST_F(HttpClientResponseTest, BodyThatIsLargerThanTheLimitIsNoAnswer)
 {
     send();
@@ -206,5 +229,35 @@
                          testing::ValuesIn(unusualResponses()),
                          [](const auto &info) { return info.param.name; });
 
+TEST_F(UpstreamResponseTest, BodyWithoutALengthBreaksTheAttemptAfterAResetDuringTheUpload)
+{
+    dispatch(false, std::string(UploadBytes, 'u'));
+    ASSERT_TRUE(awaitRequest());
+    peer().pauseReading();
+    peer().send("HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().reset();
+    ASSERT_TRUE(awaitEnd());
+    EXPECT_TRUE(log_.contains(UpstreamFailure { AttemptId(1, 1), UpstreamFailure::Kind::Broken }));
+    EXPECT_EQ(log_.count<UpstreamHead>(), 0U);
+}
+
+TEST_F(UpstreamResponseTest, EarlyAnswerWithALengthIsReportedOnceTheUploadIsRead)
+{
+    dispatch(false, std::string(UploadBytes, 'u'));
+    ASSERT_TRUE(awaitRequest());
+    peer().send(helloWith("200 OK"));
+    peer().shutDownSend();
+    expectWholeAnswer(200, "hello");
+}
+
+TEST_F(UpstreamResponseTest, EarlyAnswerInChunksIsReportedOnceTheUploadIsRead)
+{
+    dispatch(false, std::string(UploadBytes, 'u'));
+    ASSERT_TRUE(awaitRequest());
+    peer().send(chunkedHelloWith("Transfer-Encoding: chunked\r\n"));
+    peer().shutDownSend();
+    expectWholeAnswer(200, "hello");
+}
+
 } // namespace
 } // namespace GeraniumLever
--- a/tests/drivers/relay/relay_response_test.cpp
+++ b/tests/drivers/relay/relay_response_test.cpp
@@ -9,6 +9,8 @@
 namespace GeraniumLever {
 namespace {
 
+constexpr std::size_t UploadBytes = 16 * 1024 * 1024;
+
 /** An upstream responds with raw bytes. */
 class RelayResponseTest : public testing::Test, public RelayExchangeObserver
 {
@@ -60,6 +62,15 @@
         return loop_.runUntil([this]() { return peer().ended(); });
     }
 
+    /** The upstream answers an upload before it reads it; it reads on only after that. */
+    void respondToUpload(bool streamed, const std::string &bytes)
+    {
+        dispatch(streamed, std::string(UploadBytes, 'u'));
+        ASSERT_TRUE(loop_.runUntil([&]() { return !listener_.connections().empty() && peer().has("/1 "); }));
+        peer().pauseReading();
+        peer().send(bytes);
+    }
+
     void expectWholeAnswer(const std::string &body)
     {
         EXPECT_TRUE(awaitEnd());
@@ -157,6 +168,88 @@
                          testing::ValuesIn(unusualResponses()),
                          [](const auto &info) { return info.param.name; });
 
+TEST_F(RelayResponseTest, BodyWithoutALengthIsNotCompleteAfterAResetDuringTheUpload)
+{
+    respondToUpload(false, "HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().reset();
+    EXPECT_TRUE(awaitEnd());
+    EXPECT_EQ(ended_, 0);
+    EXPECT_EQ(failures_, std::vector<RelayFailure::Kind> { RelayFailure::Kind::Broken });
+    EXPECT_EQ(statuses_, std::vector<unsigned>());
+}
+
+TEST_F(RelayResponseTest, StreamWithoutALengthIsNotCompleteAfterAResetDuringTheUpload)
+{
+    respondToUpload(true, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n");
+    peer().reset();
+    EXPECT_TRUE(awaitEnd());
+    EXPECT_EQ(ended_, 0);
+    EXPECT_EQ(failures_, std::vector<RelayFailure::Kind> { RelayFailure::Kind::Broken });
+}
+
+TEST_F(RelayResponseTest, BodyWithoutALengthIsNotCompleteIfReadingWasPausedDuringTheReset)
+{
+    dispatch(true, std::string(UploadBytes, 'u'));
+    respond("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhello");
+    ASSERT_TRUE(loop_.runUntil([this]() { return body_ == "hello"; }));
+    client_.setReading(AttemptId(1, lastAttempt_), false);
+    peer().pauseReading();
+    peer().send(" world");
+    peer().reset();
+    for (int turn = 0; turn < 10; ++turn) {
+        loop_.context().restart();
+        loop_.context().run_one_for(std::chrono::milliseconds(5));
+    }
+    client_.setReading(AttemptId(1, lastAttempt_), true);
+    EXPECT_TRUE(awaitEnd());
+    EXPECT_EQ(ended_, 0);
+    EXPECT_EQ(failures_, std::vector<RelayFailure::Kind> { RelayFailure::Kind::Broken });
+}
+
+TEST_F(RelayResponseTest, EarlyAnswerWithALengthIsForwardedAlthoughTheUploadIsReset)
+{
+    respondToUpload(false, helloWith("200 OK"));
+    peer().reset();
+    expectWholeAnswer("hello");
+}
+
+TEST_F(RelayResponseTest, EarlyAnswerInChunksIsForwardedAlthoughTheUploadIsReset)
+{
+    respondToUpload(false, chunkedHelloWith("Transfer-Encoding: chunked\r\n"));
+    peer().reset();
+    expectWholeAnswer("hello");
+}
+
+TEST_F(RelayResponseTest, EarlyAnswerWithALengthIsForwardedWhileTheUploadGoesOn)
+{
+    respondToUpload(false, helloWith("200 OK"));
+    peer().shutDownSend();
+    expectWholeAnswer("hello");
+}
+
+TEST_F(RelayResponseTest, EarlyAnswerInChunksIsForwardedWhileTheUploadGoesOn)
+{
+    respondToUpload(true, chunkedHelloWith("Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n"));
+    peer().shutDownSend();
+    expectWholeAnswer("hello");
+}
+
+TEST_F(RelayResponseTest, EarlyAnswerWithoutALengthIsCompleteIfTheConnectionIsClosedGracefully)
+{
+    respondToUpload(false, "HTTP/1.1 200 OK\r\n\r\nhello");
+    peer().shutDownSend();
+    peer().startReading();
+    expectWholeAnswer("hello");
+}
+
+TEST_F(RelayResponseTest, ConnectionOfAnEarlyAnswerIsNotUsedAgain)
+{
+    respondToUpload(false, helloWith("200 OK"));
+    expectWholeAnswer("hello");
+    peer().startReading();
+    EXPECT_TRUE(awaitClose());
+}
+
 TEST_F(RelayResponseTest, StreamWithASuccessThatHasNoNameIsForwardedAtOnce)
 {
     dispatch(true);
--- a/tests/system/relay_response_test.cpp
+++ b/tests/system/relay_response_test.cpp
@@ -8,6 +8,14 @@
 namespace GeraniumLever {
 namespace {
 
+using std::chrono::milliseconds;
+
+constexpr std::size_t UploadBytes = 8 * 1024 * 1024;
+/** Resets race with the bytes before them, so that one upload does not show every order. */
+constexpr int Uploads = 12;
+const std::string fiveEvents =
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n";
+
 class RelayResponseProcessTest : public RelayProcessFixture
 {
 protected:
@@ -16,6 +24,10 @@
 
     RelayResponseProcessTest()
     {
+        std::string text = *store_.find("op", "config");
+        const std::string limit = "\"max_body_bytes\":2000000";
+        text.replace(text.find(limit), limit.size(), "\"max_body_bytes\":16000000");
+        store_.put("op", "config", text);
         for (const char *id : { "p1", "p2", "e1", "e2" }) {
             store_.remove("servers", id);
         }
@@ -93,6 +105,36 @@
         });
     }
 
+    void uploadWithReset(const std::string &route, const std::string &bytes)
+    {
+        for (int number = 0; number < Uploads; ++number) {
+            const ReceivedResponse answer =
+                call(route, std::string(UploadBytes, 'u'), [&](RawConnection &connection, const std::string &id) {
+                    connection.pauseReading();
+                    connection.send(named(bytes, id));
+                    connection.reset();
+                });
+            EXPECT_FALSE(answer.status == 200 && answer.bodyComplete) << route << ": " << answer.body;
+            EXPECT_TRUE(answer.status == 502 || !answer.bodyComplete) << route << ": " << answer.status;
+        }
+    }
+
+    /** The server answers at once, and reads the upload after that. */
+    void expectEarlyAnswer(const std::string &route, const std::string &bytes, bool ends, const std::string &body)
+    {
+        const ReceivedResponse answer =
+            call(route, std::string(UploadBytes, 'u'), [&](RawConnection &connection, const std::string &id) {
+                connection.send(named(bytes, id));
+                if (ends) {
+                    connection.shutDownSend();
+                }
+            });
+        EXPECT_EQ(answer.status, 200U) << route;
+        EXPECT_TRUE(answer.bodyComplete) << route;
+        EXPECT_EQ(answer.body, body) << route;
+        EXPECT_NE(answer.head.find("Server-Seal: seal." + id_ + "\r\n"), std::string::npos) << answer.head;
+    }
+
     std::vector<std::unique_ptr<RawListener>> listeners_;
     std::map<std::string, int> requests_;
     std::string id_;
@@ -154,5 +196,45 @@
     EXPECT_NE(logged.find("reason=\"the status is not"), std::string::npos) << logged;
 }
 
+TEST_F(RelayResponseProcessTest, BodyWithoutALengthIsNeverCompleteIfTheUploadIsReset)
+{
+    for (const char *route : { "read", "once" }) {
+        uploadWithReset(route, "HTTP/1.1 200 OK\r\n\r\nhel");
+    }
+}
+
+TEST_F(RelayResponseProcessTest, StreamWithoutALengthIsNeverCompleteIfTheUploadIsReset)
+{
+    for (const char *route : { "stream", "live" }) {
+        uploadWithReset(route, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + fiveEvents.substr(0, 30));
+    }
+}
+
+TEST_F(RelayResponseProcessTest, EarlyAnswerThatIsWholeIsForwarded)
+{
+    const std::string chunked = chunkedHelloWith("Transfer-Encoding: chunked\r\n");
+    const std::string unframed = "HTTP/1.1 200 OK\r\n\r\nhello";
+    for (const char *route : { "read", "once" }) {
+        expectEarlyAnswer(route, helloWith("200 OK"), false, "hello");
+        expectEarlyAnswer(route, helloWith("200 OK"), true, "hello");
+        expectEarlyAnswer(route, chunked, false, "hello");
+        expectEarlyAnswer(route, chunked, true, "hello");
+        expectEarlyAnswer(route, unframed, true, "hello");
+    }
+}
+
+TEST_F(RelayResponseProcessTest, EarlyStreamThatIsWholeIsForwarded)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const std::string length = "Content-Length: " + std::to_string(fiveEvents.size()) + "\r\n\r\n";
+    for (const char *route : { "stream", "live" }) {
+        expectEarlyAnswer(route, head + length + fiveEvents, false, fiveEvents);
+        expectEarlyAnswer(route, head + length + fiveEvents, true, fiveEvents);
+        expectEarlyAnswer(
+            route, head + "Transfer-Encoding: chunked\r\n\r\n4b\r\n" + fiveEvents + "\r\n0\r\n\r\n", true, fiveEvents);
+        expectEarlyAnswer(route, head + "\r\n" + fiveEvents, true, fiveEvents);
+    }
+}
+
 } // namespace
 } // namespace GeraniumLever
