Show that heads with invalid field names are rejected by every client

All clients rejected these already on the code before: blank, tab, NUL, control byte, DEL and byte above 127 in a name, an empty name, a blank before the colon (of the length, too) and a line without a colon. The tests are kept, beside those of other heads that were rejected already (control bytes in values, lengths that contradict each other, lengths and chunks together, bad chunks, other versions). Nothing in the product is changed.

--- a/tests/drivers/http/raw_responses.h
+++ b/tests/drivers/http/raw_responses.h
@@ -42,9 +42,44 @@
 /** Responses that no client may take for an answer. */
 inline std::vector<RawResponse> invalidResponses()
 {
+    const std::string nul(1, '\0');
     return {
-        { "Status000", helloWith("000 X") }, { "Status001", helloWith("001 X") }, { "Status099", helloWith("099 X") },
-        { "Status600", helloWith("600 X") }, { "Status999", helloWith("999 X") },
+        { "Status000", helloWith("000 X") },
+        { "Status001", helloWith("001 X") },
+        { "Status099", helloWith("099 X") },
+        { "Status600", helloWith("600 X") },
+        { "Status999", helloWith("999 X") },
+        { "StatusOfTwoDigits", helloWith("20 X") },
+        { "StatusOfFourDigits", helloWith("2000 X") },
+        { "StatusWithASign", helloWith("+20 X") },
+        { "NameWithABlank", helloWith("200 OK", "X Note: x\r\n") },
+        { "NameWithATab", helloWith("200 OK", "X\tNote: x\r\n") },
+        { "NameWithANul", helloWith("200 OK", "X" + nul + "Note: x\r\n") },
+        { "NameWithAControlByte", helloWith("200 OK", "X\x01Note: x\r\n") },
+        { "NameWithADelete", helloWith("200 OK", "X\x7fNote: x\r\n") },
+        { "NameWithAHighByte", helloWith("200 OK", "X\xc3Note: x\r\n") },
+        { "NameThatIsEmpty", helloWith("200 OK", ": x\r\n") },
+        { "BlankBeforeTheColon", helloWith("200 OK", "X-Note : x\r\n") },
+        { "BlankBeforeTheColonOfTheLength", "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nhello" },
+        { "LineWithoutAColon", helloWith("200 OK", "X-Note\r\n") },
+        { "LastLineBeginsWithABlank", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n X-Note: x\r\n\r\nhello" },
+        { "ControlByteInAValue", helloWith("200 OK", "X-Note: a\x01z\r\n") },
+        { "NulInAValue", helloWith("200 OK", "X-Note: a" + nul + "z\r\n") },
+        { "BareCarriageReturnInAValue", helloWith("200 OK", "X-Note: a\rz\r\n") },
+        { "ControlByteInTheReason", helloWith("200 O\x01K") },
+        { "Version20", "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello" },
+        { "Version09", "HTTP/0.9 200 OK\r\nContent-Length: 5\r\n\r\nhello" },
+        { "EmptyLineBeforeTheStatusLine", "\r\n" + helloWith("200 OK") },
+        { "TwoLengths", helloWith("200 OK", "Content-Length: 4\r\n") },
+        { "LengthWithASign", "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello" },
+        { "ListOfLengths", "HTTP/1.1 200 OK\r\nContent-Length: 5, 6\r\n\r\nhello" },
+        { "LengthThatIsTooLarge", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\nhello" },
+        { "LengthAndChunks", chunkedHelloWith("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") },
+        { "ChunksAndLength", chunkedHelloWith("Transfer-Encoding: chunked\r\nContent-Length: 5\r\n") },
+        { "ChunkSizeThatIsNoNumber", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n" },
+        { "ChunkThatIsLongerThanItsSize",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n" },
+        { "OtherCodingInALineAfter", chunkedHelloWith("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n") },
     };
 }
 
