Reject responses with folded lines

What callers saw: a line of the head that begins with a blank or a tab was joined to the field before it ("Server-Seal: seal.1 X-Note: x"), so that a field arrived with a value that the upstream never gave it. A head whose lines end with LF alone, and input that is no response at all, were rejected only when an empty line came or 64 KB had arrived, if the first bytes came alone; the attempt waited until its deadline.

Cause: the parser library joins folded lines, and it interprets a head that comes in pieces only once its end has arrived.

Change: HeadLineChecker follows the lines of a head as they arrive, before the parser sees them: the first one begins with HTTP/, each ends with CR LF, none begins with a blank. HTTP also allows a gateway to replace a fold by a blank; a server that folds lines is as likely one in trouble.

--- a/drivers/http/response_parser.cpp
+++ b/drivers/http/response_parser.cpp
@@ -34,12 +34,18 @@
     parser_->header_limit(MaxHeadBytes);
     parser_->body_limit(maxBodyBytes_.has_value() ? boost::optional<std::uint64_t>(*maxBodyBytes_) : boost::none);
     parser_->skip(headRequest_);
+    lines_ = HeadLineChecker();
     consumedBytes_ = 0;
 }
 
 std::optional<std::string> ResponseParser::feed(boost::beast::flat_buffer &input)
 {
     while (input.size() != 0 && !complete()) {
+        std::optional<std::string> fault =
+            checkLines(std::string_view(static_cast<const char *>(input.data().data()), input.size()));
+        if (fault.has_value()) {
+            return fault;
+        }
         boost::system::error_code error;
         const std::size_t used = parser_->put(input.data(), error);
         if (error && error != http::error::need_more) {
@@ -48,10 +54,10 @@
         input.consume(used);
         consumedBytes_ += headComplete_ ? 0 : used;
         if (!headComplete_ && parser_->is_header_done()) {
-            std::optional<std::string> fault = finishHead();
-            if (fault.has_value()) {
-                return fault;
-            }
+            fault = finishHead();
+        }
+        if (fault.has_value()) {
+            return fault;
         }
         if (error || used == 0) {
             break;
@@ -63,6 +69,14 @@
     return std::nullopt;
 }
 
+std::optional<std::string> ResponseParser::checkLines(std::string_view arrived)
+{
+    if (headComplete_) {
+        return std::nullopt;
+    }
+    return lines_.check(arrived.substr(lines_.checkedBytes() - consumedBytes_));
+}
+
 std::optional<std::string> ResponseParser::finishHead()
 {
     std::optional<std::string> fault = checkStatus();
--- a/drivers/http/response_parser.h
+++ b/drivers/http/response_parser.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include "drivers/http/append_body.h"
+#include "drivers/http/head_line_checker.h"
 
 namespace GeraniumLever {
 
@@ -58,7 +59,9 @@
     using Parser = boost::beast::http::response_parser<AppendBody>;
 
     void reset();
-    /** The functions below return why the response must be rejected, if it must. */
+    /** The functions below return why the response must be rejected, if it must. arrived: bytes that the parser has not
+     *  consumed. */
+    std::optional<std::string> checkLines(std::string_view arrived);
     std::optional<std::string> finishHead();
     std::optional<std::string> skipInformationalResponse();
     std::optional<std::string> checkStatus() const;
@@ -69,6 +72,7 @@
     std::optional<std::uint64_t> maxBodyBytes_;
     std::optional<Parser> parser_;
     bool headComplete_ = false;
+    HeadLineChecker lines_;
     /** Size of the part of the current head that the parser has consumed. */
     std::size_t consumedBytes_ = 0;
     unsigned informationalResponses_ = 0;
--- a/tests/drivers/http/response_parser_test.cpp
+++ b/tests/drivers/http/response_parser_test.cpp
@@ -92,6 +92,11 @@
     EXPECT_EQ(parser_.takeBody(), "hello");
 }
 
+TEST_F(ResponseParserTest, HeadWithBareLineFeedsIsRejectedBeforeItHasEnded)
+{
+    EXPECT_FALSE(feed("HTTP/1.1 200 OK\n"));
+}
+
 TEST_F(ResponseParserTest, InformationalResponsesAreLimitedInSize)
 {
     const std::string early = "HTTP/1.1 103 Early\r\nLink: " + std::string(50 * 1024, 'x') + "\r\n\r\n";
