Reject responses with a transfer encoding other than chunked

What callers saw: a complete 200 whose body held the framing of the chunks, or was coded ("gzip, chunked") without a field that said so, since the field that names the coding concerns only one connection and is not passed on.

Cause: the parser library takes a list of codings that ends with chunked for chunks, and any other coding for none; what the coding does to the body is left to its user.

Change: a transfer encoding is accepted only as the single word chunked, as RequestParser has done for requests from the start, and only in HTTP/1.1. No request of ours asks for another coding.

--- a/drivers/http/response_parser.cpp
+++ b/drivers/http/response_parser.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
+
 namespace GeraniumLever {
 
 namespace {
@@ -18,6 +20,7 @@
 constexpr unsigned ClassInformational = 1;
 constexpr unsigned ClassSuccessful = 2;
 constexpr unsigned ClassServerError = 5;
+constexpr unsigned Http11 = 11;
 
 } // namespace
 
@@ -80,6 +83,9 @@
 std::optional<std::string> ResponseParser::finishHead()
 {
     std::optional<std::string> fault = checkStatus();
+    if (!fault.has_value()) {
+        fault = checkFraming();
+    }
     if (fault.has_value()) {
         return fault;
     }
@@ -109,6 +115,20 @@
     return std::nullopt;
 }
 
+std::optional<std::string> ResponseParser::checkFraming() const
+{
+    const http::response<AppendBody> &message = parser_->get();
+    const std::size_t encodings = message.count(http::field::transfer_encoding);
+    if (encodings > 1
+        || (encodings == 1 && !boost::beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+        return "the transfer encoding is not chunked";
+    }
+    if (encodings != 0 && message.version() != Http11) {
+        return "a response of HTTP/1.0 has a transfer encoding";
+    }
+    return std::nullopt;
+}
+
 bool ResponseParser::isSuccessful() const
 {
     return statusClass() == ClassSuccessful;
--- a/drivers/http/response_parser.h
+++ b/drivers/http/response_parser.h
@@ -65,6 +65,7 @@
     std::optional<std::string> finishHead();
     std::optional<std::string> skipInformationalResponse();
     std::optional<std::string> checkStatus() const;
+    std::optional<std::string> checkFraming() const;
 
     unsigned statusClass() const;
 
--- a/tests/drivers/http/raw_responses.h
+++ b/tests/drivers/http/raw_responses.h
@@ -87,7 +87,15 @@
         { "ChunkSizeThatIsNoNumber", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n" },
         { "ChunkThatIsLongerThanItsSize",
           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhello\r\n0\r\n\r\n" },
+        { "OtherCoding", helloWith("200 OK", "Transfer-Encoding: gzip\r\n") },
+        { "OtherCodingWithoutALength", "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nhello" },
+        { "OtherCodingBeforeChunks", chunkedHelloWith("Transfer-Encoding: gzip, chunked\r\n") },
+        { "OtherCodingAfterChunks", chunkedHelloWith("Transfer-Encoding: chunked, gzip\r\n") },
+        { "OtherCodingInALineBefore", chunkedHelloWith("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n") },
         { "OtherCodingInALineAfter", chunkedHelloWith("Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n") },
+        { "CodingThatIsEmpty", chunkedHelloWith("Transfer-Encoding:\r\n") },
+        { "CodingWithAParameter", chunkedHelloWith("Transfer-Encoding: chunked;q=1\r\n") },
+        { "ChunksInVersion10", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" },
     };
 }
 
