Reject a switch of protocols that nobody asked for

What callers saw: after a 101, whatever the upstream sent next was taken for the response to the request and passed on as its answer.

Cause: 101 was skipped like other informational responses, but the bytes after it belong to another protocol. No request asks for one: the field Upgrade is not passed on.

Evidence: SwitchOfProtocols fails in InvalidRelayResponseTest, InvalidUpstreamResponseTest and InvalidHttpClientResponseTest on the code before.

--- a/drivers/http/response_parser.cpp
+++ b/drivers/http/response_parser.cpp
@@ -20,6 +20,7 @@
 constexpr unsigned ClassInformational = 1;
 constexpr unsigned ClassSuccessful = 2;
 constexpr unsigned ClassServerError = 5;
+constexpr unsigned StatusSwitchingProtocols = 101;
 constexpr unsigned Http11 = 11;
 
 } // namespace
@@ -112,6 +113,9 @@
     if (status < MinStatus || status > MaxStatus) {
         return "the status is not between 100 and 599";
     }
+    if (status == StatusSwitchingProtocols) {
+        return "the response switches to a protocol that the request did not ask for";
+    }
     return std::nullopt;
 }
 
--- a/tests/drivers/http/raw_responses.h
+++ b/tests/drivers/http/raw_responses.h
@@ -96,6 +96,7 @@
         { "CodingThatIsEmpty", chunkedHelloWith("Transfer-Encoding:\r\n") },
         { "CodingWithAParameter", chunkedHelloWith("Transfer-Encoding: chunked;q=1\r\n") },
         { "ChunksInVersion10", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" },
+        { "SwitchOfProtocols", "HTTP/1.1 101 Switching\r\n\r\n" + helloWith("200 OK") },
     };
 }
 
