Reject informational responses and 204 that state a body

What callers saw: 204 without the body that the upstream had announced; after an informational response with a length, the bytes of its body were read as the next response (rejected as no HTTP, or taken for one if they looked like it).

Cause: the protocol gives these responses no body, and the parser library ends them with their head whatever they state. Either the status or the framing is wrong, and nothing tells which.

Evidence: BodyOfStatus204, ChunkedBodyOfStatus204, BodyOfAnInformationalResponse and ChunkedBodyOfAnInformationalResponse fail on the code before in the tests of all three clients. 204 with a length of 0, and 304 with the length of what it stands for, are sound and still pass.

Result: relay_driver_test, http_test and relay_response_test passed.

--- a/drivers/http/response_parser.cpp
+++ b/drivers/http/response_parser.cpp
@@ -21,6 +21,7 @@
 constexpr unsigned ClassSuccessful = 2;
 constexpr unsigned ClassServerError = 5;
 constexpr unsigned StatusSwitchingProtocols = 101;
+constexpr unsigned StatusNoContent = 204;
 constexpr unsigned Http11 = 11;
 
 } // namespace
@@ -130,6 +131,11 @@
     if (encodings != 0 && message.version() != Http11) {
         return "a response of HTTP/1.0 has a transfer encoding";
     }
+    const unsigned status = message.result_int();
+    const bool neverHasBody = status / StatusesPerClass == ClassInformational || status == StatusNoContent;
+    if (neverHasBody && (encodings != 0 || parser_->content_length().value_or(0) != 0)) {
+        return "a response that cannot have a body states one";
+    }
     return std::nullopt;
 }
 
--- a/tests/drivers/http/raw_responses.h
+++ b/tests/drivers/http/raw_responses.h
@@ -97,6 +97,11 @@
         { "CodingWithAParameter", chunkedHelloWith("Transfer-Encoding: chunked;q=1\r\n") },
         { "ChunksInVersion10", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" },
         { "SwitchOfProtocols", "HTTP/1.1 101 Switching\r\n\r\n" + helloWith("200 OK") },
+        { "BodyOfAnInformationalResponse", helloWith("103 Early") + helloWith("200 OK") },
+        { "ChunkedBodyOfAnInformationalResponse",
+          "HTTP/1.1 103 Early\r\nTransfer-Encoding: chunked\r\n\r\n" + helloWith("200 OK") },
+        { "BodyOfStatus204", helloWith("204 None") },
+        { "ChunkedBodyOfStatus204", "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
     };
 }
 
