Keep the fields of a trailer out of the head

What callers saw: if a trailer came with the same read as the head, its fields were passed on as fields of the head, a second seal among them, and the relay and the store clients read them as such; if it came later, they were dropped.

Cause: the parser library adds the fields of a trailer to those of the head, and it parsed on to the end of what had arrived before anybody looked at the head.

Evidence: FieldsOfATrailerAreNotFieldsOfTheResponse fails on the code before for the relay and the small client.

Change: the parser stops at the end of the head, of which a copy is kept; trailers are dropped in all cases.

--- a/drivers/http/response_parser.cpp
+++ b/drivers/http/response_parser.cpp
@@ -35,7 +35,8 @@
 void ResponseParser::reset()
 {
     parser_.emplace();
-    parser_->eager(true);
+    // The parser stops at the end of the head, since it would add the fields of a trailer to those of the head.
+    parser_->eager(false);
     parser_->header_limit(MaxHeadBytes);
     parser_->body_limit(maxBodyBytes_.has_value() ? boost::optional<std::uint64_t>(*maxBodyBytes_) : boost::none);
     parser_->skip(headRequest_);
@@ -94,7 +95,9 @@
     if (parser_->get().result_int() / StatusesPerClass == ClassInformational) {
         return skipInformationalResponse();
     }
+    head_ = parser_->get().base();
     headComplete_ = true;
+    parser_->eager(true);
     return std::nullopt;
 }
 
--- a/drivers/http/response_parser.h
+++ b/drivers/http/response_parser.h
@@ -34,9 +34,9 @@
 
     /** The functions below require headComplete(). */
 
-    /** Status and fields. */
-    const Head &head() const { return parser_->get().base(); }
-    unsigned status() const { return head().result_int(); }
+    /** Status and fields, without those of a trailer. */
+    const Head &head() const { return head_; }
+    unsigned status() const { return head_.result_int(); }
     bool isSuccessful() const;
     bool isServerError() const;
 
@@ -72,6 +72,7 @@
     bool headRequest_;
     std::optional<std::uint64_t> maxBodyBytes_;
     std::optional<Parser> parser_;
+    Head head_;
     bool headComplete_ = false;
     HeadLineChecker lines_;
     /** Size of the part of the current head that the parser has consumed. */
--- a/tests/drivers/http/response_test.cpp
+++ b/tests/drivers/http/response_test.cpp
@@ -89,6 +89,17 @@
                          testing::ValuesIn(unusualResponses()),
                          [](const auto &info) { return info.param.name; });
 
+TEST_F(HttpClientResponseTest, FieldsOfATrailerAreNotFieldsOfTheResponse)
+{
+    send();
+    ASSERT_TRUE(awaitRequest());
+    peer().send(chunkedHelloWith("Transfer-Encoding: chunked\r\n", "X-Note: x\r\n"));
+    ASSERT_TRUE(awaitResult());
+    const HttpResponse *response = std::get_if<HttpResponse>(&results_.back());
+    ASSERT_NE(response, nullptr);
+    EXPECT_EQ(response->headers, (std::vector<HeaderField> { { "transfer-encoding", "chunked" } }));
+}
+
 TEST_F(HttpClientResponseTest, BodyThatEndsWithTheConnectionIsDelivered)
 {
     send();
--- a/tests/drivers/relay/relay_response_test.cpp
+++ b/tests/drivers/relay/relay_response_test.cpp
@@ -250,6 +250,15 @@
     EXPECT_TRUE(awaitClose());
 }
 
+TEST_F(RelayResponseTest, FieldsOfATrailerAreNotFieldsOfTheResponse)
+{
+    dispatch();
+    respond(chunkedHelloWith("X-Seal: right\r\nTransfer-Encoding: chunked\r\n", "X-Seal: wrong\r\nX-Note: x\r\n"));
+    ASSERT_TRUE(awaitEnd());
+    EXPECT_EQ(response_.fields.count("X-Seal"), 1U);
+    EXPECT_EQ(response_.fields.count("X-Note"), 0U);
+}
+
 TEST_F(RelayResponseTest, StreamWithASuccessThatHasNoNameIsForwardedAtOnce)
 {
     dispatch(true);
