Confirm the configuration at once after one of its reads has failed

What callers saw: after the store had been silent, a node went on refusing requests with keys (503, configuration_outdated) for up to half of the apply time longer than needed, although the store answered again.

Cause: a read of the configuration waits for its next change unless the store is unavailable. If the read of the upstreams succeeds first after an outage, the store counts as available again, and the read of the configuration that follows its failed one waits (1.5 s in that test) before it confirms anything. The trace of a failed run shows it: the configuration's read fails at 22.142, the upstreams' succeeds at 22.159 (store_regained), the configuration's is sent at 22.263 with wait=1500, and the request at 23.110 is refused.

Change: a read of the configuration waits only if the one before it was answered.

--- a/main/relay/store_poller.cpp
+++ b/main/relay/store_poller.cpp
@@ -68,11 +68,12 @@
 void StorePoller::readConfiguration()
 {
     const TimePoint asOf = clock_.now();
-    // A connection that went silent during an outage would hold up a read that waits.
-    const Duration wait = storeUnavailable_ ? Duration(0) : configurationWait_;
+    // A connection that went silent during an outage would hold up a read that waits. After a failure, the
+    // configuration is confirmed at once, since keys may have lapsed meanwhile.
+    const Duration wait = storeUnavailable_ || configurationLost_ ? Duration(0) : configurationWait_;
     store_.readConfiguration(wait, [this, asOf](const Result<StoredConfiguration> &result) {
         const bool read = succeeded(result);
-        trackAvailability(read ? std::nullopt : std::optional<Error>(errorOf(result)));
+        configurationLost_ = !trackAvailability(read ? std::nullopt : std::optional<Error>(errorOf(result)));
         if (read) {
             observer_.configurationRead(valueOf(result), asOf);
         }
@@ -117,20 +118,21 @@
     });
 }
 
-void StorePoller::trackAvailability(const std::optional<Error> &error)
+bool StorePoller::trackAvailability(const std::optional<Error> &error)
 {
     const bool storeAnswered = !error.has_value() || error->code == ResultCode::ObjectNotFound;
     if (!storeAnswered) {
         storeUnavailable_ = true;
         ++failures_;
         observer_.readFailed(*error);
-        return;
+        return false;
     }
     failures_ = 0;
     if (storeUnavailable_) {
         storeUnavailable_ = false;
         observer_.storeRecovered();
     }
+    return true;
 }
 
 } // namespace GeraniumLever
--- a/main/relay/store_poller.h
+++ b/main/relay/store_poller.h
@@ -44,7 +44,8 @@
     /** Time to wait before a failed read is repeated. */
     Duration retryDelay(TimePoint sentAt);
     void schedule(boost::asio::steady_timer &timer, Duration delay, void (StorePoller::*read)());
-    void trackAvailability(const std::optional<Error> &error);
+    /** Returns true if the store has answered. error: absent if the read has succeeded. */
+    bool trackAvailability(const std::optional<Error> &error);
 
     PlatformStore &store_;
     const Clock &clock_;
@@ -56,6 +57,8 @@
     boost::asio::steady_timer upstreamTimer_;
     RandomSource random_;
     bool storeUnavailable_ = false;
+    /** True if the last read of the configuration was not answered. */
+    bool configurationLost_ = false;
     /** Number of reads that have failed in a row. */
     unsigned failures_ = 0;
     bool stopped_ = false;
