--- a/tests/drivers/http/raw_responses.h
+++ b/tests/drivers/http/raw_responses.h
@@ -12,7 +12,7 @@
     /** Letters and digits only, as GoogleTest requires of names. */
     std::string name;
     std::string bytes;
-    /** What a client must get; empty for a response that must be rejected. */
+    /** Status and body that a client must get; 0 and empty for a response that must be rejected. */
     unsigned status = 0;
     std::string body {};
 };
