Review: show that streams whose head came early get no answer at their timeout

Cause: the head of a stream counts as sent to the caller, though it is only queued until the first event. Change: a script with servers that send the head at once, one of which turns slow; it takes the place of the batches of crashing requests, which stay in the program.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Requests with a prompt part that crashes servers come in batches.
+# A server that sends the head of a stream at once turns slow.
 # TROUBLE=0 does the same without the disruption.
-bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" crashing_part_case batches
+bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" early_head_case
--- a/review/support-2/http_exchange.cpp
+++ b/review/support-2/http_exchange.cpp
@@ -146,6 +146,7 @@
             answer.complete = interpret(input, answer);
         }
     }
+    answer.isClosed = !isOpen;
     ::close(connection);
     return answer;
 }
--- a/review/support-2/http_exchange.h
+++ b/review/support-2/http_exchange.h
@@ -17,6 +17,8 @@
     std::string body;
     /** True if the end of the body has arrived. */
     bool complete = false;
+    /** True if the peer has closed the connection. */
+    bool isClosed = false;
 
     /** Value of a field of the head; empty if there is none. */
     std::string field(const std::string &name) const;
