Review: show that a late heartbeat brings a draining server back into use

Cause: entries are not ordered by born and seq, so a heartbeat that the store carries out late undoes a server's report.

--- a/review/support-2/site.cpp
+++ b/review/support-2/site.cpp
@@ -81,6 +81,7 @@
     }
     listener_ = std::make_unique<GeraniumLever::RawServer>(
         context_, address_, [this](const Session &session, const Request &request) { handle(session, request); });
+    state_ = "ready";
     born_ = unixMilliseconds();
     sequence_ = 0;
     beat();
@@ -94,6 +95,12 @@
     }
 }
 
+void Server::drain()
+{
+    state_ = "draining";
+    beat();
+}
+
 void Server::exit()
 {
     for (const std::weak_ptr<GeraniumLever::RawSession> &weak : std::exchange(sessions_, {})) {
@@ -109,6 +116,18 @@
 {
     ++sequence_;
     store_.put("servers", settings_.id, entry());
+    scheduleHeartbeat();
+}
+
+std::string Server::loseHeartbeat()
+{
+    ++sequence_;
+    scheduleHeartbeat();
+    return entry();
+}
+
+void Server::scheduleHeartbeat()
+{
     heartbeat_.expires_after(HeartbeatPeriod);
     heartbeat_.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -65,7 +65,12 @@
     void start();
     /** Ends like a killed process: its connections are reset, and it writes nothing. */
     void kill();
-    /** The same, but connections on which nothing is unread end without a reset, as a process that exits leaves them.
+    /** Sends a heartbeat that the store does not carry out now, and answers never; returns its entry. */
+    std::string loseHeartbeat();
+    /** Reports at once that it leaves, and in every heartbeat from now on. */
+    void drain();
+    /** Like kill(), but connections on which nothing is unread end without a reset, as a process that exits leaves
+     * them.
      */
     void exit();
 
@@ -74,7 +79,9 @@
 
     const std::string &address() const { return address_; }
     ServerSettings &settings() { return settings_; }
-    std::string entry(const std::string &state = "ready") const;
+    std::string entry(const std::string &state) const;
+    /** The entry that it has written last. */
+    std::string entry() const { return entry(state_); }
     boost::asio::io_context &context() { return context_; }
     /** Sessions that exit() closes; filled by the work. */
     std::vector<std::weak_ptr<GeraniumLever::RawSession>> &sessions() { return sessions_; }
@@ -82,12 +89,14 @@
 private:
     void handle(const Session &session, const Request &request);
     void beat();
+    void scheduleHeartbeat();
 
     boost::asio::io_context &context_;
     GeraniumLever::StoreStandIn &store_;
     ServerSettings settings_;
     Work work_;
     std::string address_;
+    std::string state_ = "ready";
     std::unique_ptr<GeraniumLever::RawServer> listener_;
     boost::asio::steady_timer heartbeat_;
     std::vector<std::weak_ptr<GeraniumLever::RawSession>> sessions_;
