--- a/review/support-2/site.cpp
+++ b/review/support-2/site.cpp
@@ -206,7 +206,7 @@
     return servers_.back();
 }
 
-Relay &Site::addRelay(const std::string &zone)
+Relay &Site::addRelay(const std::string &zone, const std::string &store)
 {
     Relay relay;
     relay.node = "front-" + zone + "-" + std::to_string(relays_.size() + 1);
@@ -215,30 +215,39 @@
     relay.statusAddress = unusedAddress();
     relay.settingsPath = folder_ + "/" + relay.node + ".yaml";
     relay.outputPath = folder_ + "/" + relay.node + ".log";
-    std::ofstream(relay.settingsPath) << "node: " << relay.node << "\ndata_center: " << zone
-                                      << "\ncaller_address: " << relay.callerAddress
-                                      << "\nstatus_address: " << relay.statusAddress
-                                      << "\nstore_address: " << store_.address() << "\npeer_address: \""
-                                      << unusedAddress() << "\"\nprocessor_share: 0.25\nkey_lifetime_ms: 5000"
-                                      << "\napply_time_ms: 2000\nfirst_start: true\nupstream_heartbeat_ms: 1200"
-                                      << "\nrepeat_ratio: 0.2\nrepeat_slack: 58\nrepeat_window_s: 10"
-                                      << "\nstop_limit_s: 8\n";
+    relay.settings = "node: " + relay.node + "\ndata_center: " + zone + "\ncaller_address: " + relay.callerAddress
+        + "\nstatus_address: " + relay.statusAddress + "\nstore_address: " + (store.empty() ? store_.address() : store)
+        + "\npeer_address: \"" + unusedAddress() + "\"\nprocessor_share: 0.25\nkey_lifetime_ms: 5000"
+        + "\napply_time_ms: 2000\nupstream_heartbeat_ms: 1200\nrepeat_ratio: 0.2\nrepeat_slack: 58"
+        + "\nrepeat_window_s: 10\nstop_limit_s: 8\n";
+    launch(relay, true);
+    relays_.push_back(relay);
+    return relays_.back();
+}
+
+void Site::startAgain(Relay &relay)
+{
+    launch(relay, false);
+}
+
+void Site::launch(Relay &relay, bool isFirstStart)
+{
+    std::ofstream(relay.settingsPath) << relay.settings << (isFirstStart ? "first_start: true\n" : "");
     const std::string variable = "GERANIUMLEVER_SETTINGS=" + relay.settingsPath;
     relay.process = fork();
-    if (relay.process == 0) {
-        prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int output = open(relay.outputPath.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
-        dup2(output, STDOUT_FILENO);
-        dup2(output, STDERR_FILENO);
-        // The process must not keep the listening sockets of servers open.
-        close_range(STDERR_FILENO + 1, ~0U, 0);
-        const char *const arguments[] = { Program, "--relay", nullptr };
-        const char *const environment[] = { variable.c_str(), "LANG=C", nullptr };
-        execve(Program, const_cast<char *const *>(arguments), const_cast<char *const *>(environment));
-        _exit(127);
+    if (relay.process != 0) {
+        return;
     }
-    relays_.push_back(relay);
-    return relays_.back();
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int output = open(relay.outputPath.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    // The process must not keep the listening sockets of servers open.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+    const char *const arguments[] = { Program, "--relay", nullptr };
+    const char *const environment[] = { variable.c_str(), "LANG=C", nullptr };
+    execve(Program, const_cast<char *const *>(arguments), const_cast<char *const *>(environment));
+    _exit(127);
 }
 
 bool Site::waitUntilReady(milliseconds timeout)
--- a/review/support-2/site.h
+++ b/review/support-2/site.h
@@ -113,6 +113,7 @@
     std::string statusAddress;
     std::string settingsPath;
     std::string outputPath;
+    std::string settings;
     pid_t process = 0;
 };
 
@@ -132,14 +133,18 @@
     void configure(const std::string &json);
 
     Server &addServer(const ServerSettings &settings, const Server::Work &work);
-    /** Starts a relay process. */
-    Relay &addRelay(const std::string &zone);
+    /** Starts a relay process. store: the address at which it reaches the store, if not at the store's own. */
+    Relay &addRelay(const std::string &zone, const std::string &store = "");
+    /** Starts the process of a relay that has ended again. */
+    void startAgain(Relay &relay);
     /** False if some relay is not ready in time. */
     bool waitUntilReady(milliseconds timeout);
 
     std::deque<Relay> &relays() { return relays_; }
 
 private:
+    static void launch(Relay &relay, bool isFirstStart);
+
     std::string folder_;
     boost::asio::io_context context_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
