Review: show that streams that began just before the loss of all relays are refused

Cause: the origins of unfinished streams are stored at most every 500 ms (an entry of KNOWN-RED.txt).

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Requests with a prompt part that crashes servers come one after the other and are repeated by their clients.
-# TROUBLE=0 does the same without the disruption.
-bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" crashing_part_case repeats
+# All relays are killed at the same moment while streams of two software versions run.
+# TROUBLE=0 does the same without the kill.
+bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" fresh_origin_case
