--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Relays are stopped and started in turn while the store carries some writes out late; then a server limits its requests.
-# Writes record.txt beside this file. TROUBLE=0 does the same without the late writes.
-bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" lost_entry_case
+# Requests with a prompt part that crashes servers come one after the other and are repeated by their clients.
+# Writes record.txt beside this file. TROUBLE=0 does the same without the disruption.
+bash "$(dirname "$0")/../support-2/run_case.sh" "$(dirname "$0")" crashing_part_case repeats
