--- a/review/support-2/reset_upload_case.cpp
+++ b/review/support-2/reset_upload_case.cpp
@@ -379,6 +379,7 @@
     };
     std::atomic<bool> stopped = false;
     std::vector<std::future<void>> clients;
+    clients.reserve(Clients);
     for (int client = 0; client < Clients; ++client) {
         clients.push_back(std::async(std::launch::async, [&, client] {
             const Relay &relay = site.relays()[static_cast<std::size_t>(client) % site.relays().size()];
