Count each quarantined request once against its prompt parts

What callers saw: streams cut without end.

Cause: at its third crash both the part and the whole request account for the same crashes. The request is more specific, so it was quarantined, and its crashes were erased from the part. The next request has another fingerprint, so the part began at zero each time. Ruled out: knowledge that is lost between relays (each relay's log has the request's verdict within 0.2 s), answers that clear the part (none is answered), and the order of suspects (the request is the right verdict on three crashes).

Change: the crashes under a quarantined request have one cause, so they count once against its parts, and not never. The number of causes decides: three separate crashes as before, or two quarantined requests; of a part with earlier answers six crashes as before, or two quarantined requests and one cause more. A part is released if one request accounts for all of its crashes. Reports name the request that accounts for a crash, so that a relay which starts later counts alike. CrashEvidence holds the crashes of one suspect. The same cause on related paths: a trial of a quarantined request or part accused the parts that were visited before it, so sound ones were quarantined after three trials.

Evidence: RepeatedRequestsTest (five cases) and RepeatedRequestsWithACrashingPartReachFewUpstreams failed before: 30 of at most 8 upstreams crashed, on 9, 76 and 380 nodes 36, 36 and 48 of at most 3 late requests; sound parts were refused after the third trial.

--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -80,8 +80,10 @@
         suspect.depth = item.getDepth();
         suspect.hadAnswers = item.getHadAnswers();
         for (const PeerWire::SuspectedCrash::Reader crash : item.getCrashes()) {
-            suspect.crashes.push_back(
-                { crash.getUpstream(), durationOf(crash.getAge()), durationOf(crash.getSentAge()) });
+            suspect.crashes.push_back({ crash.getUpstream(),
+                                        durationOf(crash.getAge()),
+                                        durationOf(crash.getSentAge()),
+                                        crash.getCulprit() });
         }
         suspect.clearedAge = readAge(item.getClearedAge());
         suspect.trialAge = readAge(item.getTrialAge());
@@ -267,6 +269,7 @@
             crashTarget.setUpstream(crash.upstream);
             crashTarget.setAge(crash.age.count());
             crashTarget.setSentAge(crash.sentAge.count());
+            crashTarget.setCulprit(crash.culprit);
         }
     }
 }
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -93,6 +93,8 @@
   upstream @0 :UInt64;
   age @1 :Int64;
   sentAge @2 :Int64;
+  # 0 if none is known.
+  culprit @3 :UInt64;
 }
 
 struct SuspectReport {
--- a/servers/relay/crash_reports.h
+++ b/servers/relay/crash_reports.h
@@ -18,6 +18,8 @@
     Duration age { 0 };
     /** Time since the request was sent there. */
     Duration sentAge { 0 };
+    /** The quarantined request that accounts for the crash; 0 if none is known. */
+    std::uint64_t culprit = 0;
 
     auto operator<=>(const SuspectedCrash &) const = default;
 };
--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -11,11 +11,11 @@
 
 /** Number of separate crashes from which a part is quarantined. A sound part would have to be at this many crashing
  *  upstreams in a row without being answered anywhere in between. */
-constexpr std::uint32_t MinEpisodes = 3;
+constexpr std::uint32_t MinCauses = 3;
 /** The same for a part that had been answered before, which an upstream's new software may have come to crash under. */
-constexpr std::uint32_t MinEpisodesAfterAnswers = 6;
-/** Crashes within this time may have one cause outside the upstreams, such as a failing link. */
-constexpr Duration EpisodeLength = std::chrono::milliseconds(250);
+constexpr std::uint32_t MinCausesAfterAnswers = 6;
+/** Number of quarantined requests that have only the part in common. */
+constexpr std::uint32_t MinCulprits = 2;
 /** With at most this many crashes the first trial comes early, since the judgement may be a mistake. */
 constexpr std::uint32_t EarlyCrashes = 4;
 constexpr Duration EarlyTrialDelay = std::chrono::seconds(10);
@@ -34,7 +34,6 @@
 /** Number of nodes that write a part into the store, in case the first ones cannot. */
 constexpr std::size_t StoreWriters = 3;
 constexpr std::size_t MaxSuspects = 4096;
-constexpr std::size_t MaxCrashes = 12;
 
 std::uint64_t hashOf(const UpstreamIdentity &upstream)
 {
@@ -77,25 +76,30 @@
 
 std::uint32_t PromptQuarantine::Suspect::crashCount() const
 {
-    return storedCrashes + static_cast<std::uint32_t>(crashes.size());
+    return storedCrashes + static_cast<std::uint32_t>(evidence.size());
 }
 
-std::uint32_t PromptQuarantine::Suspect::episodes() const
+std::uint32_t PromptQuarantine::Suspect::causes() const
 {
-    std::vector<std::pair<TimePoint, TimePoint>> times;
-    for (const auto &[upstream, crash] : crashes) {
-        times.emplace_back(crash.at, crash.sentAt);
+    if (isRequest) {
+        return evidence.successiveCrashes();
     }
-    std::sort(times.begin(), times.end());
-    std::uint32_t count = 0;
-    TimePoint last;
-    for (const auto &[at, sentAt] : times) {
-        if (count == 0 || (isRequest ? sentAt >= last : at > last + EpisodeLength)) {
-            ++count;
-            last = at;
-        }
+    return evidence.episodes() + evidence.culprits();
+}
+
+std::uint32_t PromptQuarantine::Suspect::neededCauses() const
+{
+    // A part that is in most requests is in those of many crashes, too, but hardly in several that crash upstreams with
+    // no answer in between.
+    if (evidence.culprits() >= MinCulprits) {
+        return hadAnswers ? MinCauses : MinCulprits;
     }
-    return count;
+    return hadAnswers ? MinCausesAfterAnswers : MinCauses;
+}
+
+bool PromptQuarantine::Suspect::isExplained() const
+{
+    return storedCrashes == 0 && !evidence.hasUnattributed() && evidence.culprits() < MinCulprits;
 }
 
 void PromptQuarantine::noteCrash(const UpstreamIdentity &upstream,
@@ -112,6 +116,7 @@
         Suspect &suspect = suspectOf(id, now);
         suspect.depth = std::max(suspect.depth, depth);
         if (addCrash(suspect, hash, { now, sentAt })) {
+            attribute(suspect, hash, 0);
             noteChanged(suspect, now);
             accused.push_back(id);
         }
@@ -160,7 +165,9 @@
                 changed = true;
                 accused.push_back(reported.part);
             }
+            attribute(suspect, crash.upstream, crash.culprit);
         }
+        releaseIfExplained(reported.part, suspect, now);
         if (reported.trialAge.has_value()) {
             const TimePoint at = now - *reported.trialAge;
             if (!suspect.trialAt.has_value() || at > *suspect.trialAt + SameTrialTime) {
@@ -285,7 +292,7 @@
             continue;
         }
         Suspect &suspect = suspectOf(part, now);
-        const std::uint32_t known = static_cast<std::uint32_t>(suspect.crashes.size());
+        const std::uint32_t known = static_cast<std::uint32_t>(suspect.evidence.size());
         suspect.storedCrashes = std::max(suspect.storedCrashes, crashes - std::min(crashes, known));
         if (!suspect.quarantined) {
             suspect.trials = std::max<std::uint32_t>(suspect.trials, 1);
@@ -353,8 +360,8 @@
     report.part = part;
     report.depth = suspect.depth;
     report.hadAnswers = suspect.hadAnswers;
-    for (const auto &[upstream, crash] : suspect.crashes) {
-        report.crashes.push_back({ upstream, now - crash.at, now - crash.sentAt });
+    for (const auto &[upstream, crash] : suspect.evidence.crashes()) {
+        report.crashes.push_back({ upstream, now - crash.at, now - crash.sentAt, crash.culprit });
     }
     if (report.crashes.size() > MaxReportedCrashes) {
         std::sort(report.crashes.begin(), report.crashes.end(), [](const SuspectedCrash &a, const SuspectedCrash &b) {
@@ -392,10 +399,10 @@
     return suspect;
 }
 
-bool PromptQuarantine::addCrash(Suspect &suspect, std::uint64_t upstream, const Crash &crash)
+bool PromptQuarantine::addCrash(Suspect &suspect, std::uint64_t upstream, const UpstreamCrash &crash)
 {
     const bool isOld = suspect.clearedAt.has_value() && crash.at <= *suspect.clearedAt;
-    if (isOld || suspect.crashes.size() >= MaxCrashes || !suspect.crashes.try_emplace(upstream, crash).second) {
+    if (isOld || !suspect.evidence.add(upstream, crash)) {
         return false;
     }
     if (suspect.quarantined) {
@@ -408,16 +415,29 @@
 bool PromptQuarantine::isAccountedFor(std::uint64_t part, std::uint64_t upstream) const
 {
     return !isFingerprint(part) && std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
-        return entry.first != part && entry.second.quarantined && entry.second.crashes.count(upstream) != 0;
+        const Suspect &suspect = entry.second;
+        return entry.first != part && suspect.quarantined && !suspect.isRequest && suspect.evidence.contains(upstream);
+    });
+}
+
+void PromptQuarantine::attribute(Suspect &suspect, std::uint64_t upstream, std::uint64_t reportedCulprit) const
+{
+    if (suspect.isRequest) {
+        return;
+    }
+    const auto culprit = std::find_if(suspects_.begin(), suspects_.end(), [upstream](const auto &entry) {
+        const Suspect &other = entry.second;
+        return other.quarantined && other.isRequest && other.evidence.contains(upstream);
     });
+    suspect.evidence.attribute(upstream, culprit != suspects_.end() ? culprit->first : reportedCulprit);
 }
 
 void PromptQuarantine::clear(std::uint64_t part, Suspect &suspect, TimePoint at)
 {
     suspect.clearedAt = std::max(suspect.clearedAt.value_or(at), at);
-    std::erase_if(suspect.crashes, [&](const auto &crash) { return crash.second.at <= *suspect.clearedAt; });
+    suspect.evidence.eraseUntil(*suspect.clearedAt);
     suspect.hadAnswers = true;
-    if (!suspect.crashes.empty()) {
+    if (!suspect.evidence.empty()) {
         return;
     }
     suspect.storedCrashes = 0;
@@ -438,17 +458,21 @@
 
 void PromptQuarantine::judge(std::vector<std::uint64_t> parts, TimePoint now)
 {
+    for (const std::uint64_t part : parts) {
+        if (suspects_.at(part).quarantined) {
+            exonerateOthers(part, suspects_.at(part), now);
+        }
+    }
     std::sort(parts.begin(), parts.end(), [this](std::uint64_t left, std::uint64_t right) {
         const auto order = [this](std::uint64_t part) {
             const Suspect &suspect = suspects_.at(part);
-            return std::tuple(!suspect.hadAnswers, suspect.crashCount(), suspect.depth, part);
+            return std::tuple(!suspect.hadAnswers, suspect.causes(), suspect.depth, part);
         };
         return order(left) > order(right);
     });
     for (const std::uint64_t part : parts) {
         Suspect &suspect = suspects_.at(part);
-        const std::uint32_t needed = suspect.hadAnswers ? MinEpisodesAfterAnswers : MinEpisodes;
-        if (!suspect.quarantined && suspect.episodes() >= needed) {
+        if (!suspect.quarantined && suspect.causes() >= suspect.neededCauses()) {
             quarantine(part, suspect, now);
         }
     }
@@ -462,17 +486,27 @@
     suspect.blockedUntil = now;
     postponeTrial(suspect, now);
     noteQuarantineChanged(part, suspect);
-    for (auto &[other, otherSuspect] : suspects_) {
-        if (other != part && !otherSuspect.isRequest && (suspect.isRequest || !otherSuspect.quarantined)) {
-            exonerate(other, otherSuspect, suspect, now);
+    exonerateOthers(part, suspect, now);
+}
+
+void PromptQuarantine::exonerateOthers(std::uint64_t culprit, const Suspect &culpritSuspect, TimePoint now)
+{
+    for (auto &[part, suspect] : suspects_) {
+        if (part == culprit || suspect.isRequest) {
+            continue;
+        }
+        if (culpritSuspect.isRequest) {
+            suspect.evidence.attribute(culpritSuspect.evidence, culprit);
+            releaseIfExplained(part, suspect, now);
+        } else if (!suspect.quarantined) {
+            suspect.evidence.erase(culpritSuspect.evidence);
         }
     }
 }
 
-void PromptQuarantine::exonerate(std::uint64_t part, Suspect &suspect, const Suspect &culprit, TimePoint now)
+void PromptQuarantine::releaseIfExplained(std::uint64_t part, Suspect &suspect, TimePoint now)
 {
-    std::erase_if(suspect.crashes, [&culprit](const auto &crash) { return culprit.crashes.count(crash.first) != 0; });
-    if (!suspect.quarantined || suspect.crashCount() != 0) {
+    if (suspect.isRequest || !suspect.quarantined || !suspect.isExplained()) {
         return;
     }
     suspect.quarantined = false;
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "servers/relay/answered_parts.h"
+#include "servers/relay/crash_evidence.h"
 #include "servers/relay/crash_reports.h"
 #include "servers/relay/relay_messages.h"
 #include "servers/routing/routing.h"
@@ -49,10 +50,11 @@
  * of these requests as a whole by its fingerprint. An answer
  * clears all parts of its request. A suspect is quarantined once several upstreams have crashed under it, at different
  * times, with no answer in between; more crashes are needed for a part that had been answered before. Among suspects
- * that account for the same crashes, the one without earlier answers and then the most specific one is quarantined, and
- * these crashes no longer count against the others. A quarantined part is tried again with a single request after a
- * while, which grows with the number of crashes. The last part of a prompt belongs to a single request or session and
- * is never a suspect.
+ * that account for the same crashes, the one without earlier answers and then the most specific one is quarantined.
+ * Crashes under a quarantined part no longer count against the others; those under a quarantined request have one
+ * cause, so that together they count once against its parts. A part that crashes upstreams is in several such requests.
+ * A quarantined part is tried again with a single request after a while, which grows with the number of crashes. The
+ * last part of a prompt belongs to a single request or session and is never a suspect.
  *
  * A whole request is judged by its own attempts alone, each sent after the one before had crashed an upstream. A sound
  * request that was sent along with a crashing one every time is quarantined with it, so the first trial comes soon.
@@ -116,25 +118,17 @@
     static constexpr std::size_t MaxReportedCrashes = 6;
 
 private:
-    struct Crash
-    {
-        TimePoint at;
-        /** When the request was sent to the upstream. */
-        TimePoint sentAt;
-    };
-
     struct Suspect
     {
         /** True for a request, false for a prompt part. */
         bool isRequest = false;
         std::uint32_t depth = 0;
         bool hadAnswers = false;
-        /** By the upstream's hash, since the part was last cleared. */
-        std::map<std::uint64_t, Crash> crashes;
+        CrashEvidence evidence;
         /** Number of further crashes that the store knows of. */
         std::uint32_t storedCrashes = 0;
         std::optional<TimePoint> clearedAt;
-        /** When its quarantine ended because a whole request accounted for all crashes. */
+        /** When its quarantine ended because one request accounted for all crashes. */
         std::optional<TimePoint> exoneratedAt;
         std::optional<TimePoint> trialAt;
         /** Number of trials that are known of. */
@@ -152,9 +146,12 @@
         std::size_t storeDifferences = 0;
 
         std::uint32_t crashCount() const;
-        /** Number of crashes that cannot have one cause outside the upstreams: those of a part are far enough apart,
-         * and a request was sent after the crash before. */
-        std::uint32_t episodes() const;
+        /** Number of causes that the crashes would have if it were sound. */
+        std::uint32_t causes() const;
+        /** Number of causes from which it is quarantined. */
+        std::uint32_t neededCauses() const;
+        /** True if one request accounts for all crashes. */
+        bool isExplained() const;
         bool isAccused() const { return quarantined || crashCount() != 0; }
     };
     using Suspects = std::map<std::uint64_t, Suspect>;
@@ -169,17 +166,21 @@
     template<typename Visit>
     static void forEachSuspect(const PromptInfo &prompt, Visit visit);
     /** Returns false if the crash is known, or precedes an answer. */
-    bool addCrash(Suspect &suspect, std::uint64_t upstream, const Crash &crash);
+    bool addCrash(Suspect &suspect, std::uint64_t upstream, const UpstreamCrash &crash);
     void noteTrial(Suspect &suspect, TimePoint at);
-    /** True if the suspect is a part, and another suspect is quarantined for this crash. */
+    /** True if the suspect is a part, and another part is quarantined for this crash. */
     bool isAccountedFor(std::uint64_t part, std::uint64_t upstream) const;
+    /** Attributes the crash to the reported request, or to a quarantined one that accounts for it, unless the suspect
+     * is a request itself. */
+    void attribute(Suspect &suspect, std::uint64_t upstream, std::uint64_t reportedCulprit) const;
     void clear(std::uint64_t part, Suspect &suspect, TimePoint at);
     void noteChanged(Suspect &suspect, TimePoint now);
     /** Quarantines those of the parts that now account for enough crashes. */
     void judge(std::vector<std::uint64_t> parts, TimePoint now);
     void quarantine(std::uint64_t part, Suspect &suspect, TimePoint now);
-    /** Takes the crashes that the culprit accounts for from a part, which is released if no other is left. */
-    void exonerate(std::uint64_t part, Suspect &suspect, const Suspect &culprit, TimePoint now);
+    /** Lets the crashes that the quarantined suspect accounts for speak less against the parts. */
+    void exonerateOthers(std::uint64_t culprit, const Suspect &culpritSuspect, TimePoint now);
+    void releaseIfExplained(std::uint64_t part, Suspect &suspect, TimePoint now);
     void noteQuarantineChanged(std::uint64_t part, const Suspect &suspect);
     void postponeTrial(Suspect &suspect, TimePoint from);
 
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -37,7 +37,7 @@
                                 { { 0xfedcba9876543210,
                                     2,
                                     true,
-                                    { { 7, milliseconds(3), milliseconds(9) }, { 8, milliseconds(4) } },
+                                    { { 7, milliseconds(3), milliseconds(9), 6 }, { 8, milliseconds(4) } },
                                     milliseconds(5),
                                     {} },
                                   { 9, 0, false, {}, std::nullopt, milliseconds(0) } } };
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -337,9 +337,114 @@
     EXPECT_FALSE(isBlocked(sound())) << "it had been answered";
 }
 
+/** Requests of a caller each, which are sent again until they are refused. */
+class RepeatedRequestsTest : public PromptQuarantineTest
+{
+protected:
+    PromptInfo requestWith(const std::vector<std::uint64_t> &shared)
+    {
+        PromptInfo request = promptOf(shared);
+        request.parts.push_back({ ++lastOwn_, 10 });
+        request.fingerprint = RequestFingerprintBit | lastOwn_;
+        return request;
+    }
+
+    /** Returns the number of upstreams that crash under the request. */
+    int repeatUntilRefused(const PromptInfo &request, PromptQuarantine &quarantine)
+    {
+        int crashes = 0;
+        while (quarantine.blockedFor(request, clock_.now()) <= Duration(0)) {
+            quarantine.noteSent(request, clock_.now());
+            crash({ request }, quarantine);
+            ++crashes;
+            clock_.advance(attemptGap_);
+        }
+        return crashes;
+    }
+
+    /** Requests with a crashing part that may reach upstreams: five crashes, and three more once all nodes know. */
+    static constexpr int AllowedRequests = 8;
+
+    Duration attemptGap_ = milliseconds(100);
+};
+
+// Guards against a part that crashes upstreams being cleared by the quarantine of each request that has it.
+TEST_F(RepeatedRequestsTest, PartIsQuarantinedThoughEachRequestWithItIsQuarantinedFirst)
+{
+    int crashes = 0;
+    for (int number = 0; number < 10; ++number) {
+        crashes += repeatUntilRefused(requestWith({ SharedPart, CrashingPart }), quarantine_);
+        quarantine_.noteAnswered(requestWith({ SharedPart, SoundPart }), clock_.now());
+        clock_.advance(milliseconds(500));
+    }
+    EXPECT_LE(crashes, AllowedRequests);
+    EXPECT_TRUE(isBlocked(requestWith({ SharedPart, CrashingPart })));
+    EXPECT_FALSE(isBlocked(requestWith({ SharedPart, SoundPart })));
+}
+
+// Guards against the same for a part that had been answered before.
+TEST_F(RepeatedRequestsTest, PartWithEarlierAnswersIsQuarantinedAfterAFewRequests)
+{
+    quarantine_.noteAnswered(requestWith({ SharedPart, CrashingPart }), clock_.now());
+    clock_.advance(seconds(1));
+    int crashes = 0;
+    for (int number = 0; number < 10; ++number) {
+        crashes += repeatUntilRefused(requestWith({ SharedPart, CrashingPart }), quarantine_);
+        quarantine_.noteAnswered(requestWith({ SharedPart, SoundPart }), clock_.now());
+        clock_.advance(milliseconds(500));
+    }
+    EXPECT_LE(crashes, AllowedRequests);
+    EXPECT_FALSE(isBlocked(requestWith({ SharedPart, SoundPart })));
+}
+
+// Guards against sound parts that crashing requests share being quarantined for these.
+TEST_F(RepeatedRequestsTest, SoundPartOfSeveralCrashingRequestsStaysInUse)
+{
+    const PromptInfo crashing = requestWith({ SharedPart, SoundPart });
+    repeatUntilRefused(crashing, quarantine_);
+    EXPECT_FALSE(isBlocked(requestWith({ SharedPart, SoundPart }))) << "one request accounts for all crashes";
+    for (int trial = 0; trial < 3; ++trial) {
+        clock_.advance(quarantine_.blockedFor(crashing, clock_.now()));
+        repeatUntilRefused(crashing, quarantine_);
+        EXPECT_FALSE(isBlocked(requestWith({ SharedPart, SoundPart }))) << "trials of the request, too";
+    }
+    for (int number = 0; number < 10; ++number) {
+        quarantine_.noteAnswered(requestWith({ SharedPart, SoundPart }), clock_.now());
+        repeatUntilRefused(requestWith({ SharedPart, SoundPart }), quarantine_);
+        EXPECT_FALSE(isBlocked(requestWith({ SharedPart, SoundPart }))) << number;
+    }
+}
+
+// Guards against crashes under a quarantined part accusing the parts before it.
+TEST_F(RepeatedRequestsTest, TrialsOfAQuarantinedPartAccuseNoOtherPart)
+{
+    crashTimes(3, crashing());
+    for (int trial = 0; trial < 5; ++trial) {
+        clock_.advance(quarantine_.blockedFor(crashing(), clock_.now()));
+        quarantine_.noteSent(crashing(), clock_.now());
+        crash({ crashing() }, quarantine_);
+        EXPECT_FALSE(isBlocked(sound())) << trial;
+    }
+}
+
+// Guards against a part being released when the last of the requests that crashed with it is quarantined, too.
+TEST_F(RepeatedRequestsTest, PartOfSeveralQuarantinedRequestsStaysQuarantined)
+{
+    attemptGap_ = milliseconds(300);
+    repeatUntilRefused(requestWith({ CrashingPart }), quarantine_);
+    const PromptInfo second = requestWith({ CrashingPart });
+    repeatUntilRefused(second, quarantine_);
+    ASSERT_TRUE(isBlocked(requestWith({ CrashingPart })));
+    for (int number = 0; number < 3; ++number) {
+        crash({ second }, quarantine_);
+        clock_.advance(milliseconds(100));
+    }
+    EXPECT_TRUE(isBlocked(requestWith({ CrashingPart })));
+}
+
 // A fleet.
 
-class QuarantineFleetTest : public PromptQuarantineTest
+class QuarantineFleetTest : public RepeatedRequestsTest
 {
 protected:
     struct Node
@@ -467,6 +572,47 @@
     }
 }
 
+// Guards against repeats of requests that share a crashing part keeping it in use, whichever nodes they come to.
+TEST_F(QuarantineFleetTest, RepeatedRequestsWithACrashingPartReachFewUpstreams)
+{
+    for (const int size : { 9, 76, 380 }) {
+        nodes_.clear();
+        indices_.clear();
+        start(size);
+        int crashes = 0;
+        int late = 0;
+        int refusedSound = 0;
+        std::optional<TimePoint> fifth;
+        for (int number = 0; number < 15; ++number) {
+            const PromptInfo request = requestWith({ SharedPart, CrashingPart });
+            for (int attempt = 0; attempt < 4; ++attempt) {
+                Node &node = nodes_[random_.below(nodes_.size())];
+                if (node.quarantine.blockedFor(request, clock_.now()) <= Duration(0)) {
+                    node.quarantine.noteSent(request, clock_.now());
+                    late += fifth.has_value() && clock_.now() > *fifth + seconds(3) ? 1 : 0;
+                    run(milliseconds(75));
+                    crash({ request }, node.quarantine);
+                    fifth = ++crashes == 5 ? clock_.now() : fifth;
+                }
+                run(milliseconds(100));
+            }
+            for (int sound = 0; sound < 10; ++sound) {
+                Node &node = nodes_[random_.below(nodes_.size())];
+                const PromptInfo beside = requestWith({ SharedPart, SoundPart });
+                if (node.quarantine.blockedFor(beside, clock_.now()) > Duration(0)) {
+                    ++refusedSound;
+                    continue;
+                }
+                node.quarantine.noteSent(beside, clock_.now());
+                node.quarantine.noteAnswered(beside, clock_.now());
+                run(milliseconds(200));
+            }
+        }
+        EXPECT_LE(late, 3) << size;
+        EXPECT_EQ(refusedSound, 0) << size << " of 150";
+    }
+}
+
 TEST_F(QuarantineFleetTest, QuarantinedPartIsReportedAmongManySuspects)
 {
     start(2);
