Move what crashes tell out of the relay system

Cause: the relay system decided itself which answers and failures the prompt quarantine hears of, and held its three parts; it is too long to grow. Change: CrashSystem owns the quarantine and the answers that are not confirmed yet, as LimitSystem does with limits; it takes in CrashExchange. Probes of unconfirmed answers are added a few commands earlier within a tick. No decision changes.

--- /dev/null
+++ b/servers/relay/crash_system.cpp
@@ -0,0 +1,78 @@
+#include "servers/relay/crash_system.h"
+
+#include <utility>
+
+#include "servers/relay/relay_records.h"
+
+namespace GeraniumLever {
+
+void CrashSystem::answered(const RelayRow &row, TimePoint now)
+{
+    if (!row.succeeded) {
+        return;
+    }
+    if (row.framing != BodyFraming::Connection) {
+        quarantine_.noteAnswered(row.request.prompt, now);
+    } else if (quarantine_.accuses(row.request.prompt)) {
+        unconfirmedAnswers_.add({ row.upstream, row.request.prompt, now });
+    }
+}
+
+void CrashSystem::failed(const RelayRow &row, const RelayFailure &failure, TimePoint now)
+{
+    const UpstreamIdentity &upstream = row.upstreamOf(failure.attempt);
+    unconfirmedAnswers_.discard(upstream);
+    if (failure.kind == RelayFailure::Kind::Broken) {
+        const TimePoint sentAt = row.isOnStandby(failure.attempt) ? row.standby->dispatchedAt : row.dispatchedAt;
+        quarantine_.noteCrash(upstream, row.request.prompt, sentAt, now);
+    }
+}
+
+void CrashSystem::probed(const RelayProbeResult &result)
+{
+    for (const UnconfirmedAnswer &answer : unconfirmedAnswers_.probed(result)) {
+        quarantine_.noteAnswered(answer.prompt, answer.endedAt);
+    }
+}
+
+std::optional<CrashReport> CrashSystem::report(TimePoint now) const
+{
+    CrashReport report { self_, quarantine_.report(now) };
+    return report.suspects.empty() ? std::nullopt : std::optional<CrashReport>(std::move(report));
+}
+
+QuarantineUpdate CrashSystem::reconcile(const StoredQuarantine &stored, TimePoint now)
+{
+    return quarantine_.reconcile(
+        stored, [this](std::uint64_t part) { return fleet_.nodes().rank(self_, part); }, now);
+}
+
+void CrashSystem::tick(TimePoint now, RelayCommands &commands)
+{
+    quarantine_.expire(now);
+    share(now, commands);
+    for (RelayProbe &probe : unconfirmedAnswers_.startDueProbes(now)) {
+        if (placement_.mayProbe(fleet_.directory(), probe.upstream, now)) {
+            commands.emplace_back(std::move(probe));
+        } else {
+            unconfirmedAnswers_.probed({ probe.upstream, false });
+        }
+    }
+}
+
+void CrashSystem::share(TimePoint now, RelayCommands &commands)
+{
+    for (const QuarantineChange &change : quarantine_.takeChanges()) {
+        commands.emplace_back(recordQuarantine(change));
+    }
+    std::vector<SuspectReport> news = quarantine_.takeNews(now);
+    if (news.empty()) {
+        return;
+    }
+    const CrashReport report { self_, std::move(news) };
+    for (const PeerNode &peer : fleet_.peers().targets()) {
+        commands.emplace_back(OutgoingCrashReport { peer.address, report });
+    }
+}
+
+} // namespace GeraniumLever
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -37,8 +37,7 @@
     , placement_(settings_.dataCenter, fleet_, settings_.seed + 2)
     , limits_(settings_.node, fleet_, placement_)
     , locator_(settings_.node, settings_.dataCenter, fleet_)
-    , quarantine_(settings_.seed + 3)
-    , crashes_(settings_.node, quarantine_, fleet_)
+    , crashes_(settings_.node, fleet_, placement_, settings_.seed + 3)
     , random_(settings_.seed + 1)
     , attempts_(settings_.origin, placement_)
     , budgets_(settings_.retryAllowance)
@@ -112,12 +111,6 @@
     }
 }
 
-QuarantineUpdate RelaySystem::reconcileQuarantine(const StoredQuarantine &stored, TimePoint now)
-{
-    return quarantine_.reconcile(
-        stored, [this](std::uint64_t part) { return fleet_.nodes().rank(settings_.node, part); }, now);
-}
-
 // Requests.
 
 void RelaySystem::arrived(const RelayRequest &request, TimePoint now, RelayCommands &commands)
@@ -181,7 +174,7 @@
 
 std::optional<GiveUpReason> RelaySystem::obstacleOf(const RelayRow &row, TimePoint now) const
 {
-    if (quarantine_.blockedFor(row.request.prompt, now) > Duration(0)) {
+    if (crashes_.blockedFor(row, now) > Duration(0)) {
         return GiveUpReason::Quarantined;
     }
     if (now >= row.deadline) {
@@ -229,7 +222,7 @@
     const bool resumes = row.phase == RelayPhase::Answering || row.firstByte.has_value();
     row.phase = resumes ? RelayPhase::Answering : RelayPhase::Sent;
     attempts_.start(row, placement, now);
-    quarantine_.noteSent(row.request.prompt, now);
+    crashes_.requestSent(row, now);
     limits_.requestSent(row, now);
 
     commands.emplace_back(recordDispatch(row, placement, now));
@@ -479,25 +472,13 @@
     if (row == nullptr) {
         return;
     }
-    noteAnswered(*row, now);
+    crashes_.answered(*row, now);
     const QueueKey queueKey = row->queueKey;
     attempts_.end(*row);
     finish(*row, Outcome::Answered, ResultCode::Ok, now, commands);
     serveQueue(queueKey, now, commands);
 }
 
-void RelaySystem::noteAnswered(const RelayRow &row, TimePoint now)
-{
-    if (!row.succeeded) {
-        return;
-    }
-    if (row.framing != BodyFraming::Connection) {
-        quarantine_.noteAnswered(row.request.prompt, now);
-    } else if (quarantine_.accuses(row.request.prompt)) {
-        unconfirmedAnswers_.add({ row.upstream, row.request.prompt, now });
-    }
-}
-
 void RelaySystem::failed(const RelayFailure &failure, TimePoint now, RelayCommands &commands)
 {
     RelayRow *row = rowOf(failure.attempt);
@@ -525,26 +506,19 @@
 
 void RelaySystem::noteFailure(const RelayRow &row, const RelayFailure &failure, TimePoint now)
 {
-    const bool isStandby = row.isOnStandby(failure.attempt);
-    const UpstreamIdentity &upstream = row.upstreamOf(failure.attempt);
+    const UpstreamName &upstream = row.upstreamOf(failure.attempt).name;
     if (failure.kind == RelayFailure::Kind::NotConnected) {
-        placement_.load(upstream.name).noteUnreachable(now);
+        placement_.load(upstream).noteUnreachable(now);
     } else {
-        placement_.load(upstream.name).noteFailed(now);
-    }
-    unconfirmedAnswers_.discard(upstream);
-    if (failure.kind == RelayFailure::Kind::Broken) {
-        const TimePoint sentAt = isStandby ? row.standby->dispatchedAt : row.dispatchedAt;
-        quarantine_.noteCrash(upstream, row.request.prompt, sentAt, now);
+        placement_.load(upstream).noteFailed(now);
     }
+    crashes_.failed(row, failure, now);
 }
 
 void RelaySystem::probed(const RelayProbeResult &result, TimePoint now, RelayCommands &commands)
 {
     placement_.load(result.upstream).noteProbed(result.reached, now);
-    for (const UnconfirmedAnswer &answer : unconfirmedAnswers_.probed(result)) {
-        quarantine_.noteAnswered(answer.prompt, answer.endedAt);
-    }
+    crashes_.probed(result);
     commands.emplace_back(recordProbe(result));
 }
 
@@ -595,8 +569,8 @@
             RelayRefusal { request, { final, "the upstream did not answer", std::nullopt }, outcome });
         return;
     }
-    const Duration retryAfter = code == ResultCode::PromptQuarantined ? quarantine_.blockedFor(row.request.prompt, now)
-                                                                      : retryAfterOf(row, code, now);
+    const Duration retryAfter =
+        code == ResultCode::PromptQuarantined ? crashes_.blockedFor(row, now) : retryAfterOf(row, code, now);
     const ResultCode final = httpStatusFor(code) == httpStatusFor(ResultCode::Shed) ? code : ResultCode::Shed;
     finish(row, Outcome::NotRun, code, now, commands);
     commands.emplace_back(RelayRefusal { request, { final, refusalMessageFor(code), retryAfter }, Outcome::NotRun });
@@ -660,19 +634,11 @@
     }
     locator_.tick(now, commands);
     handleLocatedStreams(now, commands);
-    quarantine_.expire(now);
-    crashes_.share(now, commands);
+    crashes_.tick(now, commands);
     limits_.tick(now, commands);
     for (RelayProbe &probe : placement_.startDueProbes(fleet_.directory(), now)) {
         commands.emplace_back(std::move(probe));
     }
-    for (RelayProbe &probe : unconfirmedAnswers_.startDueProbes(now)) {
-        if (placement_.mayProbe(fleet_.directory(), probe.upstream, now)) {
-            commands.emplace_back(std::move(probe));
-        } else {
-            unconfirmedAnswers_.probed({ probe.upstream, false });
-        }
-    }
     for (auto &[queueKey, queue] : queues_) {
         serveQueue(queueKey, now, commands);
     }
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -6,10 +6,9 @@
 #include <set>
 #include <vector>
 
-#include "servers/relay/crash_exchange.h"
+#include "servers/relay/crash_system.h"
 #include "servers/relay/fleet_state.h"
 #include "servers/relay/limit_system.h"
-#include "servers/relay/prompt_quarantine.h"
 #include "servers/relay/relay_admission.h"
 #include "servers/relay/relay_attempts.h"
 #include "servers/relay/relay_placement.h"
@@ -17,7 +16,6 @@
 #include "servers/relay/retry_after_estimator.h"
 #include "servers/relay/retry_budgets.h"
 #include "servers/relay/stream_locator.h"
-#include "servers/relay/unconfirmed_answers.h"
 #include "servers/relay/work_exchange.h"
 
 namespace GeraniumLever {
@@ -93,15 +91,18 @@
     void originBackupFailed() { locator_.backupFailed(); }
 
     /** Handles what another relay knows about crashes. */
-    void crashReportReceived(const CrashReport &report, TimePoint now) { quarantine_.receive(report, now); }
+    void crashReportReceived(const CrashReport &report, TimePoint now) { crashes_.reportReceived(report, now); }
 
     /** What to tell other relays about crashes once a second; absent if there is nothing to tell. */
     std::optional<CrashReport> crashReport(TimePoint now) const { return crashes_.report(now); }
 
     /** Adopts the quarantined parts that the store knows; returns what this node should change there. */
-    QuarantineUpdate reconcileQuarantine(const StoredQuarantine &stored, TimePoint now);
+    QuarantineUpdate reconcileQuarantine(const StoredQuarantine &stored, TimePoint now)
+    {
+        return crashes_.reconcile(stored, now);
+    }
 
-    const PromptQuarantine &quarantine() const { return quarantine_; }
+    const PromptQuarantine &quarantine() const { return crashes_.quarantine(); }
 
     /** Handles what another relay knows about the limits of upstreams. */
     void limitReportReceived(const LimitReport &report, TimePoint now, RelayCommands &commands)
@@ -157,8 +158,6 @@
     void continueStream(RelayRow &row, const StreamOrigin &origin, TimePoint now, RelayCommands &commands);
     void refuseUnknownStream(RelayRow &row, TimePoint now, RelayCommands &commands);
     void admit(RelayRow &row, TimePoint now, RelayCommands &commands);
-    /** Tells the quarantine of the row's answer, at once or when it is certain that it was complete. */
-    void noteAnswered(const RelayRow &row, TimePoint now);
     /** Why the request may not be sent to any upstream; absent if it may. Some time can have passed since it was
      *  admitted, all the more if the process was paused. */
     std::optional<GiveUpReason> obstacleOf(const RelayRow &row, TimePoint now) const;
@@ -197,9 +196,7 @@
     RelayPlacement placement_;
     LimitSystem limits_;
     StreamLocator locator_;
-    PromptQuarantine quarantine_;
-    CrashExchange crashes_;
-    UnconfirmedAnswers unconfirmedAnswers_;
+    CrashSystem crashes_;
     std::map<QueueKey, RetryAfterEstimator> retryAfterEstimators_;
     RandomSource random_;
     Table<RequestId, RelayRow> rows_;
