Count crashes of one moment one by one if only a part's upstreams ended

Cause: crashes within 250 ms may come from a failing link, so they count once, and twelve are kept for a suspect. Two batches filled the list; a third moment, which would have decided, was not noted.

Change: the registry tells a crash from a failing link, since it shows that the upstream's incarnation has ended. Crashes that it confirms count one by one, unless another upstream broke off its connections at that moment, the part had answers before, or the same crashes speak against another part of the same depth: a loss of power takes all kinds of requests along. If the list is full, a crash of the moment with the most others gives way, the same one at all nodes. A report has room for 48 crashes in place of six for each of eight suspects, so that all nodes know the same ones.

Cost: no call to the store and no datagram more at 9, 76 and 380 nodes; the registry is read anyway.

--- a/servers/relay/crash_evidence.cpp
+++ b/servers/relay/crash_evidence.cpp
@@ -5,16 +5,27 @@
 
 namespace GeraniumLever {
 
-namespace {
-
-/** Crashes within this time may have one cause outside the upstreams, such as a failing link. */
-constexpr Duration EpisodeLength = std::chrono::milliseconds(250);
-
-} // namespace
+bool CrashEvidence::containsAll(const CrashEvidence &other) const
+{
+    return std::all_of(
+        other.crashes_.begin(), other.crashes_.end(), [this](const auto &entry) { return contains(entry.first); });
+}
 
 bool CrashEvidence::add(std::uint64_t upstream, const UpstreamCrash &crash)
 {
-    return crashes_.size() < MaxCrashes && crashes_.try_emplace(upstream, crash).second;
+    if (!crashes_.try_emplace(upstream, crash).second) {
+        return false;
+    }
+    if (crashes_.size() <= MaxCrashes) {
+        return true;
+    }
+    const std::vector<Group> all = groups();
+    const Group &largest = *std::max_element(
+        all.begin(), all.end(), [](const Group &left, const Group &right) { return left.size() < right.size(); });
+    // All nodes must drop the same crash, or they would go on telling each other of it.
+    const std::uint64_t dropped = *std::max_element(largest.begin(), largest.end());
+    crashes_.erase(dropped);
+    return dropped != upstream;
 }
 
 void CrashEvidence::eraseUntil(TimePoint time)
@@ -42,26 +53,82 @@
     }
 }
 
-std::uint32_t CrashEvidence::episodes() const
+std::vector<CrashEvidence::Group> CrashEvidence::moments() const
 {
-    std::vector<TimePoint> times;
+    std::vector<std::pair<TimePoint, std::uint64_t>> order;
     for (const auto &[upstream, crash] : crashes_) {
         if (crash.culprit == 0) {
-            times.push_back(crash.at);
+            order.emplace_back(crash.at, upstream);
         }
     }
-    std::sort(times.begin(), times.end());
-    std::uint32_t count = 0;
-    TimePoint last;
-    for (const TimePoint at : times) {
-        if (count == 0 || at > last + EpisodeLength) {
-            ++count;
-            last = at;
+    std::sort(order.begin(), order.end());
+    std::vector<Group> moments;
+    TimePoint start;
+    for (const auto &[at, upstream] : order) {
+        if (moments.empty() || at > start + EpisodeLength) {
+            moments.emplace_back();
+            start = at;
+        }
+        moments.back().push_back(upstream);
+    }
+    return moments;
+}
+
+std::vector<CrashEvidence::Group> CrashEvidence::groups() const
+{
+    std::map<std::uint64_t, Group> byCulprit;
+    for (const auto &[upstream, crash] : crashes_) {
+        if (crash.culprit != 0) {
+            byCulprit[crash.culprit].push_back(upstream);
         }
     }
+    std::vector<Group> groups = moments();
+    for (auto &[culprit, group] : byCulprit) {
+        groups.push_back(std::move(group));
+    }
+    return groups;
+}
+
+std::uint32_t CrashEvidence::episodes() const
+{
+    return static_cast<std::uint32_t>(moments().size());
+}
+
+std::uint32_t CrashEvidence::separateCrashes(const CrashLog &log) const
+{
+    std::uint32_t count = 0;
+    for (const Group &moment : moments()) {
+        const std::ptrdiff_t confirmed = std::count_if(
+            moment.begin(), moment.end(), [&log](std::uint64_t upstream) { return log.isConfirmed(upstream); });
+        count += confirmed > 1 && isAlone(moment, log) ? static_cast<std::uint32_t>(confirmed) : 1;
+    }
     return count;
 }
 
+bool CrashEvidence::isAlone(const Group &moment, const CrashLog &log) const
+{
+    bool isAlone = true;
+    for (const std::uint64_t upstream : moment) {
+        log.forEachAt(crashes_.at(upstream).at,
+                      [&](std::uint64_t other) { isAlone = isAlone && crashes_.count(other) != 0; });
+    }
+    return isAlone;
+}
+
+std::vector<std::uint64_t> CrashEvidence::mostTelling(std::size_t count) const
+{
+    std::vector<std::uint64_t> chosen;
+    const std::vector<Group> all = groups();
+    for (std::size_t position = 0; chosen.size() < std::min(count, crashes_.size()); ++position) {
+        for (auto group = all.rbegin(); group != all.rend() && chosen.size() < count; ++group) {
+            if (position < group->size()) {
+                chosen.push_back((*group)[position]);
+            }
+        }
+    }
+    return chosen;
+}
+
 std::uint32_t CrashEvidence::successiveCrashes() const
 {
     std::vector<std::pair<TimePoint, TimePoint>> times;
--- a/servers/relay/crash_evidence.h
+++ b/servers/relay/crash_evidence.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "core/core.h"
+#include "servers/relay/crash_log.h"
 
 namespace GeraniumLever {
 
@@ -33,7 +33,10 @@
     bool empty() const { return crashes_.empty(); }
     bool contains(std::uint64_t upstream) const { return crashes_.count(upstream) != 0; }
 
-    /** Returns false if the crash is known, or if there is no room for it. */
+    bool containsAll(const CrashEvidence &other) const;
+
+    /** Returns false if the crash is known, or if it says no more than those that are known. If there is no room, one
+     *  of the crashes that have the most others at their moment gives way. */
     bool add(std::uint64_t upstream, const UpstreamCrash &crash);
 
     /** Erases the crashes until the time. */
@@ -48,9 +51,16 @@
     /** Attributes all crashes that the request accounts for in the same way. */
     void attribute(const CrashEvidence &request, std::uint64_t fingerprint);
 
-    /** Number of crashes without a culprit that are far enough apart to have separate causes. */
+    /** Number of moments at which there were crashes without a culprit. */
     std::uint32_t episodes() const;
 
+    /** The same, but crashes of one moment count one by one if the upstreams have ended, and if no other upstream broke
+     *  off a connection then: what ends only upstreams with the suspect is the suspect. */
+    std::uint32_t separateCrashes(const CrashLog &log) const;
+
+    /** The upstreams of up to so many crashes that together tell the most. */
+    std::vector<std::uint64_t> mostTelling(std::size_t count) const;
+
     /** Number of crashes of requests that were each sent after the crash before. */
     std::uint32_t successiveCrashes() const;
 
@@ -63,6 +73,16 @@
     static constexpr std::size_t MaxCrashes = 12;
 
 private:
+    /** Upstreams whose crashes are likely to have one cause. */
+    using Group = std::vector<std::uint64_t>;
+
+    /** The crashes without a culprit, by moment. */
+    std::vector<Group> moments() const;
+    /** The crashes by moment or culprit. */
+    std::vector<Group> groups() const;
+    /** True if no other upstream broke off a connection at that moment. */
+    bool isAlone(const Group &moment, const CrashLog &log) const;
+
     Crashes crashes_;
 };
 
--- a/servers/relay/crash_system.cpp
+++ b/servers/relay/crash_system.cpp
@@ -35,6 +35,13 @@
     }
 }
 
+void CrashSystem::upstreamsLost(const std::vector<UpstreamIdentity> &upstreams, TimePoint now)
+{
+    for (const UpstreamIdentity &upstream : upstreams) {
+        quarantine_.noteEnded(upstream, now);
+    }
+}
+
 std::optional<CrashReport> CrashSystem::report(TimePoint now) const
 {
     CrashReport report { self_, quarantine_.report(now) };
--- a/servers/relay/crash_system.h
+++ b/servers/relay/crash_system.h
@@ -39,6 +39,9 @@
 
     void probed(const RelayProbeResult &result);
 
+    /** The registry shows that these incarnations of upstreams have ended without a word that they leave. */
+    void upstreamsLost(const std::vector<UpstreamIdentity> &upstreams, TimePoint now);
+
     /** Handles what another node knows. */
     void reportReceived(const CrashReport &report, TimePoint now) { quarantine_.receive(report, now); }
 
--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -79,14 +79,6 @@
     return storedCrashes + static_cast<std::uint32_t>(evidence.size());
 }
 
-std::uint32_t PromptQuarantine::Suspect::causes() const
-{
-    if (isRequest) {
-        return evidence.successiveCrashes();
-    }
-    return evidence.episodes() + evidence.culprits();
-}
-
 std::uint32_t PromptQuarantine::Suspect::neededCauses() const
 {
     // A part that is in most requests is in those of many crashes, too, but hardly in several that crash upstreams with
@@ -108,6 +100,7 @@
                                  TimePoint now)
 {
     const std::uint64_t hash = hashOf(upstream);
+    crashLog_.noteCrash(hash, now);
     std::vector<std::uint64_t> accused;
     forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t depth) {
         if (isAccountedFor(id, hash)) {
@@ -124,6 +117,19 @@
     judge(std::move(accused), now);
 }
 
+void PromptQuarantine::noteEnded(const UpstreamIdentity &upstream, TimePoint now)
+{
+    const std::uint64_t hash = hashOf(upstream);
+    crashLog_.noteEnded(hash, now);
+    std::vector<std::uint64_t> accused;
+    for (const auto &[id, suspect] : suspects_) {
+        if (suspect.evidence.contains(hash)) {
+            accused.push_back(id);
+        }
+    }
+    judge(std::move(accused), now);
+}
+
 void PromptQuarantine::noteAnswered(const PromptInfo &prompt, TimePoint now)
 {
     forEachSuspect(prompt, [&](std::uint64_t id, std::uint32_t) {
@@ -160,6 +166,7 @@
             changed = changed || (wasAccused && !suspect.isAccused());
         }
         for (const SuspectedCrash &crash : reported.crashes) {
+            crashLog_.noteCrash(crash.upstream, now - crash.age);
             if (!isAccountedFor(reported.part, crash.upstream)
                 && addCrash(suspect, crash.upstream, { now - crash.age, now - crash.sentAge })) {
                 changed = true;
@@ -241,7 +248,7 @@
         Suspect &suspect = suspects_.at(part);
         suspect.newsAt.reset();
         suspect.shared = true;
-        news.push_back(reportOf(part, suspect, now));
+        addReport(part, now, news);
     }
     if (!news.empty()) {
         nextNewsAt_ = now + NewsPeriod;
@@ -258,7 +265,7 @@
     std::vector<SuspectReport> reports;
     reports.reserve(parts.size());
     for (const std::uint64_t part : parts) {
-        reports.push_back(reportOf(part, suspects_.at(part), now));
+        addReport(part, now, reports);
     }
     return reports;
 }
@@ -335,6 +342,7 @@
 
 void PromptQuarantine::expire(TimePoint now)
 {
+    crashLog_.expire(now);
     std::erase_if(suspects_, [now](const auto &entry) {
         const Suspect &suspect = entry.second;
         const Duration lifetime = suspect.isAccused() ? SuspicionLifetime : ClearedLifetime;
@@ -354,28 +362,28 @@
         std::count_if(suspects_.begin(), suspects_.end(), [](const auto &entry) { return entry.second.isAccused(); }));
 }
 
-SuspectReport PromptQuarantine::reportOf(std::uint64_t part, const Suspect &suspect, TimePoint now)
+void PromptQuarantine::addReport(std::uint64_t part, TimePoint now, std::vector<SuspectReport> &reports) const
 {
+    const Suspect &suspect = suspects_.at(part);
+    std::size_t room = MaxReportedCrashes;
+    for (const SuspectReport &other : reports) {
+        room -= other.crashes.size();
+    }
     SuspectReport report;
     report.part = part;
     report.depth = suspect.depth;
     report.hadAnswers = suspect.hadAnswers;
-    for (const auto &[upstream, crash] : suspect.evidence.crashes()) {
+    for (const std::uint64_t upstream : suspect.evidence.mostTelling(room)) {
+        const UpstreamCrash &crash = suspect.evidence.crashes().at(upstream);
         report.crashes.push_back({ upstream, now - crash.at, now - crash.sentAt, crash.culprit });
     }
-    if (report.crashes.size() > MaxReportedCrashes) {
-        std::sort(report.crashes.begin(), report.crashes.end(), [](const SuspectedCrash &a, const SuspectedCrash &b) {
-            return a.age < b.age;
-        });
-        report.crashes.resize(MaxReportedCrashes);
-    }
     if (suspect.clearedAt.has_value()) {
         report.clearedAge = now - *suspect.clearedAt;
     }
     if (suspect.trialAt.has_value()) {
         report.trialAge = now - *suspect.trialAt;
     }
-    return report;
+    reports.push_back(std::move(report));
 }
 
 PromptQuarantine::Suspect &PromptQuarantine::suspectOf(std::uint64_t part, TimePoint now)
@@ -456,6 +464,28 @@
     suspect.newsAt = std::min(suspect.newsAt.value_or(due), due);
 }
 
+std::uint32_t PromptQuarantine::causesOf(std::uint64_t part) const
+{
+    const Suspect &suspect = suspects_.at(part);
+    const CrashEvidence &evidence = suspect.evidence;
+    if (suspect.isRequest) {
+        return evidence.successiveCrashes();
+    }
+    // A part that is in most requests is in those of all upstreams that lose power together.
+    const bool isCommon = suspect.hadAnswers || hasRival(part);
+    return (isCommon ? evidence.episodes() : evidence.separateCrashes(crashLog_)) + evidence.culprits();
+}
+
+bool PromptQuarantine::hasRival(std::uint64_t part) const
+{
+    const Suspect &suspect = suspects_.at(part);
+    return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto &entry) {
+        const Suspect &other = entry.second;
+        return entry.first != part && !other.isRequest && other.depth == suspect.depth
+            && other.evidence.containsAll(suspect.evidence);
+    });
+}
+
 void PromptQuarantine::judge(std::vector<std::uint64_t> parts, TimePoint now)
 {
     for (const std::uint64_t part : parts) {
@@ -466,13 +496,13 @@
     std::sort(parts.begin(), parts.end(), [this](std::uint64_t left, std::uint64_t right) {
         const auto order = [this](std::uint64_t part) {
             const Suspect &suspect = suspects_.at(part);
-            return std::tuple(!suspect.hadAnswers, suspect.causes(), suspect.depth, part);
+            return std::tuple(!suspect.hadAnswers, causesOf(part), suspect.depth, part);
         };
         return order(left) > order(right);
     });
     for (const std::uint64_t part : parts) {
         Suspect &suspect = suspects_.at(part);
-        if (!suspect.quarantined && suspect.causes() >= suspect.neededCauses()) {
+        if (!suspect.quarantined && causesOf(part) >= suspect.neededCauses()) {
             quarantine(part, suspect, now);
         }
     }
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -68,6 +68,9 @@
      */
     void noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint sentAt, TimePoint now);
 
+    /** The registry shows that this incarnation of an upstream has ended. */
+    void noteEnded(const UpstreamIdentity &upstream, TimePoint now);
+
     /** An upstream has answered this request completely. */
     void noteAnswered(const PromptInfo &prompt, TimePoint now);
 
@@ -113,9 +116,9 @@
     /** Number of parts under which at least one upstream has crashed since they were last answered. */
     std::size_t suspects() const;
 
-    /** Maximum number of suspects in one report, and of crashes under each, so that it fits into a datagram. */
+    /** Maximum number of suspects in one report, and of crashes under all of them. */
     static constexpr std::size_t MaxReportedSuspects = 8;
-    static constexpr std::size_t MaxReportedCrashes = 6;
+    static constexpr std::size_t MaxReportedCrashes = 48;
 
 private:
     struct Suspect
@@ -146,8 +149,6 @@
         std::size_t storeDifferences = 0;
 
         std::uint32_t crashCount() const;
-        /** Number of causes that the crashes would have if it were sound. */
-        std::uint32_t causes() const;
         /** Number of causes from which it is quarantined. */
         std::uint32_t neededCauses() const;
         /** True if one request accounts for all crashes. */
@@ -160,7 +161,8 @@
     static bool isStored(std::uint64_t part, const Suspect &suspect, const StoredQuarantine &stored);
     /** The parts that fit into one report, those with the most crashes first. */
     std::vector<std::uint64_t> mostAccused(const std::function<bool(const Suspect &)> &matters) const;
-    static SuspectReport reportOf(std::uint64_t part, const Suspect &suspect, TimePoint now);
+    /** Adds what is known about a suspect, as far as the report has room for its crashes. */
+    void addReport(std::uint64_t part, TimePoint now, std::vector<SuspectReport> &reports) const;
     Suspect &suspectOf(std::uint64_t part, TimePoint now);
     /** Calls visit with each suspect that the request could be, as an identifier and its position in the prompt. */
     template<typename Visit>
@@ -175,6 +177,10 @@
     void attribute(Suspect &suspect, std::uint64_t upstream, std::uint64_t reportedCulprit) const;
     void clear(std::uint64_t part, Suspect &suspect, TimePoint at);
     void noteChanged(Suspect &suspect, TimePoint now);
+    /** Number of causes that the crashes would have if the suspect were sound. */
+    std::uint32_t causesOf(std::uint64_t part) const;
+    /** True if the same crashes speak against another part that no request has together with this one. */
+    bool hasRival(std::uint64_t part) const;
     /** Quarantines those of the parts that now account for enough crashes. */
     void judge(std::vector<std::uint64_t> parts, TimePoint now);
     void quarantine(std::uint64_t part, Suspect &suspect, TimePoint now);
@@ -186,6 +192,7 @@
 
     RandomSource random_;
     AnsweredParts answered_;
+    CrashLog crashLog_;
     Suspects suspects_;
     std::vector<QuarantineChange> changes_;
     std::uint64_t revision_ = 0;
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -56,18 +56,19 @@
 
 void RelaySystem::updateUpstreams(const StoredUpstreams &stored, TimePoint asOf, TimePoint now, RelayCommands &commands)
 {
-    handleDirectoryChanges(fleet_.updateUpstreams(stored, asOf, now, commands), commands);
+    handleDirectoryChanges(fleet_.updateUpstreams(stored, asOf, now, commands), now, commands);
     for (auto &[queueKey, queue] : queues_) {
         serveQueue(queueKey, now, commands);
     }
 }
 
-void RelaySystem::handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands)
+void RelaySystem::handleDirectoryChanges(const DirectoryChanges &changes, TimePoint now, RelayCommands &commands)
 {
     if (changes.empty()) {
         return;
     }
     placement_.applyChanges(fleet_.directory(), changes);
+    crashes_.upstreamsLost(changes.lost, now);
     for (Decision &decision : recordDirectoryChanges(changes)) {
         commands.emplace_back(std::move(decision));
     }
@@ -609,7 +610,7 @@
 
 void RelaySystem::tick(TimePoint now, RelayCommands &commands)
 {
-    handleDirectoryChanges(fleet_.expire(now), commands);
+    handleDirectoryChanges(fleet_.expire(now), now, commands);
     std::vector<RequestId> due;
     for (const auto &[request, row] : rows_) {
         if (mayBeDue(row, now)) {
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -146,7 +146,7 @@
     std::vector<RelayRequestMetrics> takeRequestMetrics();
 
 private:
-    void handleDirectoryChanges(const DirectoryChanges &changes, RelayCommands &commands);
+    void handleDirectoryChanges(const DirectoryChanges &changes, TimePoint now, RelayCommands &commands);
     RelayRow *rowOf(const AttemptId &attempt);
     /** The row of an attempt from whose upstream something has arrived. If it was on standby, it changes places with
      *  the row's current one. */
--- a/servers/routing/upstream_directory.cpp
+++ b/servers/routing/upstream_directory.cpp
@@ -50,8 +50,7 @@
             return false;
         }
         possiblyLapsed_.erase(name);
-        noteRemoved(name, now);
-        changes.removed.push_back(name);
+        noteRemoved(entry, now, changes);
         return true;
     });
     knownRows_.eraseIf([&](const UpstreamName &name, const KnownRow &known) {
@@ -79,6 +78,9 @@
         changes.added.push_back(entry.name);
     } else if (previous->identity() != entry.identity()) {
         changes.restarted.push_back(entry.name);
+        if (!previous->leaving) {
+            changes.lost.push_back(previous->identity());
+        }
     } else if (entry.leaving && !previous->leaving) {
         changes.leaving.push_back(entry.name);
     }
@@ -97,9 +99,13 @@
     return entry.rowVersion < known->version && entry.incarnation <= known->incarnation && !hasLeft;
 }
 
-void UpstreamDirectory::noteRemoved(const UpstreamName &name, TimePoint now)
+void UpstreamDirectory::noteRemoved(const UpstreamEntry &entry, TimePoint now, DirectoryChanges &changes)
 {
-    KnownRow *known = knownRows_.edit(name);
+    changes.removed.push_back(entry.name);
+    if (!entry.leaving) {
+        changes.lost.push_back(entry.identity());
+    }
+    KnownRow *known = knownRows_.edit(entry.name);
     if (known != nullptr) {
         known->era = listState_.era;
         known->version = listState_.version;
@@ -123,9 +129,10 @@
         if (now < retainedUntil) {
             return false;
         }
-        if (entries_.erase(name)) {
-            noteRemoved(name, now);
-            changes.removed.push_back(name);
+        const UpstreamEntry *entry = entries_.find(name);
+        if (entry != nullptr) {
+            noteRemoved(*entry, now, changes);
+            entries_.erase(name);
         }
         return true;
     });
--- a/servers/routing/upstream_directory.h
+++ b/servers/routing/upstream_directory.h
@@ -63,6 +63,8 @@
     std::vector<UpstreamName> removed;
     /** Restarted under the same name. */
     std::vector<UpstreamName> restarted;
+    /** The incarnations that have ended without a word that they leave. */
+    std::vector<UpstreamIdentity> lost;
 
     bool empty() const { return added.empty() && leaving.empty() && removed.empty() && restarted.empty(); }
 };
@@ -126,7 +128,7 @@
                                const StoreEras &eras,
                                TimePoint now,
                                DirectoryChanges &changes);
-    void noteRemoved(const UpstreamName &name, TimePoint now);
+    void noteRemoved(const UpstreamEntry &entry, TimePoint now, DirectoryChanges &changes);
 
     Table<UpstreamName, UpstreamEntry> entries_;
     Table<UpstreamName, KnownRow> knownRows_;
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -32,13 +32,38 @@
     PromptInfo crashing() { return promptOf({ SharedPart, CrashingPart, ++lastOwn_ }); }
     PromptInfo sound() { return promptOf({ SharedPart, SoundPart, ++lastOwn_ }); }
 
+    UpstreamIdentity nextUpstream()
+    {
+        return { UpstreamName("e" + std::to_string(++lastUpstream_)), "10.0.0.1:80", 1 };
+    }
+
     /** Another upstream crashes under all of these requests. */
-    void crash(const std::vector<PromptInfo> &prompts, PromptQuarantine &quarantine)
+    UpstreamIdentity crash(const std::vector<PromptInfo> &prompts, PromptQuarantine &quarantine)
     {
-        const UpstreamIdentity upstream { UpstreamName("e" + std::to_string(++lastUpstream_)), "10.0.0.1:80", 1 };
+        const UpstreamIdentity upstream = nextUpstream();
         for (const PromptInfo &prompt : prompts) {
             quarantine.noteCrash(upstream, prompt, clock_.now(), clock_.now());
         }
+        return upstream;
+    }
+
+    /** So many upstreams crash under such requests at the same moment, and the registry shows it later. */
+    void crashTogether(int count, const std::function<PromptInfo()> &prompt)
+    {
+        std::vector<UpstreamIdentity> upstreams;
+        for (int number = 0; number < count; ++number) {
+            upstreams.push_back(crash({ prompt() }, quarantine_));
+            clock_.advance(milliseconds(10));
+        }
+        endLater(upstreams);
+    }
+
+    void endLater(const std::vector<UpstreamIdentity> &upstreams)
+    {
+        clock_.advance(seconds(4));
+        for (const UpstreamIdentity &upstream : upstreams) {
+            quarantine_.noteEnded(upstream, clock_.now());
+        }
     }
 
     void crashTimes(int count, const PromptInfo &prompt)
@@ -103,6 +128,76 @@
     EXPECT_FALSE(isBlocked(sound()));
 }
 
+// Guards against batches of requests with a crashing part that end several upstreams at the same moment each time.
+TEST_F(PromptQuarantineTest, CrashesAtOneMomentBlameThePartThatAllLostUpstreamsHad)
+{
+    quarantine_.noteAnswered(sound(), clock_.now());
+    crashTogether(9, [this]() { return crashing(); });
+    EXPECT_TRUE(isBlocked(crashing()));
+    EXPECT_FALSE(isBlocked(sound()));
+}
+
+// Guards against a loss of power at several upstreams barring what they were working on.
+TEST_F(PromptQuarantineTest, UpstreamsThatLoseOtherRequestsAtTheSameMomentBlameNoPart)
+{
+    quarantine_.noteAnswered(promptOf({ SharedPart, ++lastOwn_ }), clock_.now());
+    std::vector<UpstreamIdentity> upstreams;
+    for (int number = 0; number < 4; ++number) {
+        upstreams.push_back(crash({ crashing() }, quarantine_));
+        upstreams.push_back(crash({ sound() }, quarantine_));
+    }
+    endLater(upstreams);
+    EXPECT_FALSE(isBlocked(crashing()));
+    EXPECT_FALSE(isBlocked(sound()));
+}
+
+TEST_F(PromptQuarantineTest, CrashesAtOneMomentDoNotBlameAPartThatWasAnsweredBefore)
+{
+    quarantine_.noteAnswered(sound(), clock_.now());
+    crashTogether(12, [this]() { return sound(); });
+    EXPECT_FALSE(isBlocked(sound()));
+}
+
+// Guards against connections that a server ends after its entry was removed counting as its crash.
+TEST_F(PromptQuarantineTest, UpstreamsThatHadLeftTheRegistryBeforeTheyEndedBlameNoPart)
+{
+    std::vector<UpstreamIdentity> upstreams;
+    for (int number = 0; number < 5; ++number) {
+        upstreams.push_back(nextUpstream());
+    }
+    endLater(upstreams);
+    clock_.advance(seconds(1));
+    for (const UpstreamIdentity &upstream : upstreams) {
+        quarantine_.noteCrash(upstream, crashing(), clock_.now(), clock_.now());
+    }
+    EXPECT_FALSE(isBlocked(crashing()));
+}
+
+// Guards against the loss of all upstreams at once barring each kind of request that no upstream has answered yet.
+TEST_F(PromptQuarantineTest, PartsThatNoRequestHasTogetherAreNotBlamedForOneMoment)
+{
+    std::vector<UpstreamIdentity> upstreams;
+    for (int number = 0; number < 9; ++number) {
+        upstreams.push_back(crash({ promptOf({ 100, ++lastOwn_ }), promptOf({ 200, ++lastOwn_ }) }, quarantine_));
+    }
+    endLater(upstreams);
+    EXPECT_FALSE(isBlocked(promptOf({ 100, ++lastOwn_ })));
+    EXPECT_FALSE(isBlocked(promptOf({ 200, ++lastOwn_ })));
+}
+
+// Guards against crashes of one moment filling the list of a suspect, so that later ones are not counted.
+TEST_F(PromptQuarantineTest, ManyCrashesAtOneMomentLeaveRoomForThoseThatFollow)
+{
+    for (int moment = 0; moment < 3; ++moment) {
+        EXPECT_FALSE(isBlocked(crashing()));
+        for (int number = 0; number < 20; ++number) {
+            crash({ crashing() }, quarantine_);
+        }
+        clock_.advance(seconds(6));
+    }
+    EXPECT_TRUE(isBlocked(crashing()));
+}
+
 TEST_F(PromptQuarantineTest, SameUpstreamCountsOnce)
 {
     const UpstreamIdentity upstream { UpstreamName("e1"), "10.0.0.1:80", 1 };
@@ -613,6 +708,44 @@
     }
 }
 
+// Guards against batches of requests with a crashing part, whichever nodes they come to.
+TEST_F(QuarantineFleetTest, BatchesWithACrashingPartReachFewUpstreamsAfterTheFirst)
+{
+    constexpr int Batches = 5;
+    constexpr std::size_t BatchSize = 10;
+    for (const int size : { 9, 76, 380 }) {
+        nodes_.clear();
+        indices_.clear();
+        start(size);
+        for (Node &node : nodes_) {
+            node.quarantine.noteAnswered(sound(), clock_.now());
+        }
+        int late = 0;
+        for (int batch = 0; batch < Batches; ++batch) {
+            std::vector<UpstreamIdentity> lost;
+            for (std::size_t number = 0; number < BatchSize; ++number) {
+                Node &node = nodes_[random_.below(nodes_.size())];
+                if (node.quarantine.blockedFor(crashing(), clock_.now()) <= Duration(0)) {
+                    node.quarantine.noteSent(crashing(), clock_.now());
+                    lost.push_back(crash({ crashing(), sound() }, node.quarantine));
+                    late += batch == 0 ? 0 : 1;
+                }
+            }
+            run(milliseconds(500));
+            nodes_[random_.below(nodes_.size())].quarantine.noteAnswered(sound(), clock_.now());
+            run(milliseconds(3000));
+            for (Node &node : nodes_) {
+                for (const UpstreamIdentity &upstream : lost) {
+                    node.quarantine.noteEnded(upstream, clock_.now());
+                }
+            }
+            run(milliseconds(2500));
+        }
+        EXPECT_LE(late, 3) << size;
+        EXPECT_EQ(blocking(sound()), 0U) << size;
+    }
+}
+
 TEST_F(QuarantineFleetTest, QuarantinedPartIsReportedAmongManySuspects)
 {
     start(2);
--- a/tests/servers/routing/upstream_directory_test.cpp
+++ b/tests/servers/routing/upstream_directory_test.cpp
@@ -47,6 +47,15 @@
     EXPECT_FALSE(has("b"));
 }
 
+TEST_F(UpstreamDirectoryTest, UpstreamThatEndsWithoutLeavingIsLost)
+{
+    update({ entryOf("a"), entryOf("b"), entryOf("c", true) });
+    UpstreamEntry restarted = entryOf("a");
+    restarted.incarnation = 2;
+    const std::vector<UpstreamIdentity> lost { entryOf("a").identity(), entryOf("b").identity() };
+    EXPECT_EQ(update({ restarted }).lost, lost) << "c has left";
+}
+
 TEST_F(UpstreamDirectoryTest, LeavingIsReportedOnce)
 {
     update({ entryOf("a") });
