Check each list of relays for the own entry, and remove only that

What callers saw: an upstream in need got more than it had stated.

Cause: a stopping relay removes its entry by name. A removal that is carried out seconds later takes away the entry that the next process has written meanwhile. A relay took its entry for written for good once the store had confirmed it, so it was never written again. Relays count each other by the list, so each used a larger share of the limit; retry budgets and connections are divided in the same way.

Change: - An entry names the process that wrote it. A relay writes it again if a list that was read after the confirmation lacks it, or has that of an earlier process, whose write was late. - A stopping relay reads the list and removes the entry only at the version at which it was read, and only its own. - A relay counts itself in what all share, listed or not. - A relay that gets a report from one that its list, read within the last 2 s, lacks says so in a report back; that one reads the list at once.

--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -43,6 +43,7 @@
     report.storeEra.era = reader.getStoreEra();
     report.storeEra.age = durationOf(reader.getStoreEraAge());
     report.storeEra.firstVersion = reader.getStoreFirstVersion();
+    report.listsReceiver = reader.getListsReceiver();
     return report;
 }
 
@@ -171,6 +172,7 @@
     builder.setStoreEra(report.storeEra.era);
     builder.setStoreEraAge(report.storeEra.age.count());
     builder.setStoreFirstVersion(report.storeEra.firstVersion);
+    builder.setListsReceiver(report.listsReceiver);
 }
 
 void writeWork(const WorkAccount &account, PeerWire::WorkAccount::Builder builder)
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -63,6 +63,7 @@
   storeEra @8 :UInt64;
   storeEraAge @9 :Int64;
   storeFirstVersion @10 :UInt64;
+  listsReceiver @11 :Bool = true;
 }
 
 struct StreamOrigin {
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -70,12 +70,33 @@
     readTimer_.cancel();
     reportTimer_.cancel();
     if (!self_.address.empty()) {
-        store_.removeNode(self_.node, [](const Result<StoreState> &result) {
-            LOG_IF(WARNING, !succeeded(result)) << "event=node_entry_kept message=\"" << errorOf(result).message << '"';
-        });
+        removeNode();
     }
 }
 
+void PeerExchange::removeNode()
+{
+    const auto kept = [](const Error &error) {
+        LOG(WARNING) << "event=node_entry_kept message=\"" << error.message << '"';
+    };
+    // The call may be carried out after the node's next process has written its own entry.
+    store_.readNodes([this, kept](const Result<StoredNodes> &result) {
+        if (!succeeded(result)) {
+            kept(errorOf(result));
+            return;
+        }
+        for (const PeerNode &listed : valueOf(result).nodes) {
+            if (listed.node == self_.node && listed.incarnation == self_.incarnation) {
+                store_.removeNode(listed, [kept](const Result<StoreState> &removed) {
+                    if (!succeeded(removed)) {
+                        kept(errorOf(removed));
+                    }
+                });
+            }
+        }
+    });
+}
+
 void PeerExchange::send(const OutgoingStreamMessage &message)
 {
     std::visit([&](const auto &value) { link_.send(message.address, value); }, message.message);
@@ -97,7 +118,7 @@
     store_.writeNode(self_, [this](const Result<StoreState> &result) {
         registering_ = false;
         if (succeeded(result)) {
-            system_.nodeRegistered(valueOf(result));
+            system_.nodeRegistered(valueOf(result), clock_.now());
             return;
         }
         LOG_IF(WARNING, !stopped_) << "event=node_entry_failed message=\"" << errorOf(result).message << '"';
@@ -109,12 +130,16 @@
     if (system_.fleet().needsRegistration() && !registering_) {
         registerNode();
     }
-    const bool readRecently = std::chrono::steady_clock::now() - lastRead_ <= MinNodeListReadInterval;
-    if (system_.fleet().needsNodes(clock_.now()) && !readRecently) {
+    if (system_.fleet().needsNodes(clock_.now()) && !hasReadLately()) {
         readNodes(NodeListReadPeriod);
     }
 }
 
+bool PeerExchange::hasReadLately() const
+{
+    return std::chrono::steady_clock::now() - lastRead_ <= MinNodeListReadInterval;
+}
+
 void PeerExchange::readNodes(std::chrono::steady_clock::duration nextDelay)
 {
     lastRead_ = std::chrono::steady_clock::now();
@@ -208,16 +233,31 @@
     const PeerNode *peer = system_.fleet().peers().nodeAt(from);
     const NodeName &sender = std::visit([](const auto &value) -> const NodeName & { return senderOf(value); }, message);
     if (peer == nullptr || peer->node != sender) {
-        if (!stopped_ && std::chrono::steady_clock::now() - lastRead_ > MinNodeListReadInterval) {
-            readNodes(NodeListReadPeriod);
-        }
+        handleStranger(from, message);
         return;
     }
     std::visit([&](const auto &value) { handle(*peer, value); }, message);
 }
 
+void PeerExchange::handleStranger(const std::string &from, const PeerDatagram &message)
+{
+    if (stopped_) {
+        return;
+    }
+    if (!hasReadLately()) {
+        readNodes(NodeListReadPeriod);
+    } else if (const PeerReport *report = std::get_if<PeerReport>(&message);
+               report != nullptr && report->listsReceiver) {
+        // Its entry may have been removed without its knowledge.
+        link_.send(from, system_.reportFor(report->node, clock_.now()));
+    }
+}
+
 void PeerExchange::handle(const PeerNode &peer, const PeerReport &report)
 {
+    if (!report.listsReceiver && !stopped_ && !hasReadLately()) {
+        readNodes(NodeListReadPeriod);
+    }
     const bool isNew = system_.fleet().peers().isNew(report);
     observer_.peerReportReceived(report);
     // A node that has just started needs to know how old the store's era is before it can accept keys.
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -44,8 +44,11 @@
 
 private:
     void registerNode();
+    /** Removes the entry of this process. */
+    void removeNode();
     /** Writes the node's entry and reads the others if the store may have lost some. */
     void renewRegistration();
+    bool hasReadLately() const;
     /** nextDelay: time until the list is read again. */
     void readNodes(std::chrono::steady_clock::duration nextDelay);
     void scheduleRead(std::chrono::steady_clock::duration delay);
@@ -54,6 +57,8 @@
     void sendReportsOnce();
     void sendWorkReports();
     void handleDatagram(const std::string &from, const PeerDatagram &message);
+    /** Handles a datagram of a node that is not listed. */
+    void handleStranger(const std::string &from, const PeerDatagram &message);
     void handle(const PeerNode &peer, const PeerReport &report);
     void handle(const PeerNode &peer, const WorkReport &report);
     void handle(const PeerNode &peer, const WorkTotals &totals);
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -82,7 +82,7 @@
         , store(context, settings.storeAddress, StoreTimeout)
         , storePoller(context, store, settings.applyTime, clock, *this)
         , peerExchange(context,
-                       { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare },
+                       { settings.node, settings.dataCenter, settings.peerAddress, settings.processorShare, origin },
                        store,
                        clock,
                        system,
--- a/servers/relay/fleet_state.cpp
+++ b/servers/relay/fleet_state.cpp
@@ -9,7 +9,12 @@
 namespace GeraniumLever {
 
 FleetState::FleetState(NodeName self, std::uint64_t incarnation, Duration upstreamHeartbeat, bool isFirstStart)
-    : self_(std::move(self)), incarnation_(incarnation), versionNotes_(isFirstStart), peers_(self_), limits_(self_)
+    : self_(std::move(self))
+    , incarnation_(incarnation)
+    , versionNotes_(isFirstStart)
+    , nodes_(self_, incarnation_)
+    , peers_(self_)
+    , limits_(self_)
 {
     directory_.setHeartbeat(upstreamHeartbeat);
 }
@@ -139,6 +144,7 @@
     report.storeEra = storeEras_.report(now);
     report.sentAt = now;
     report.sentAfter = peers_.lastSentAt(peer);
+    report.listsReceiver = peers_.isListed(peer);
     return report;
 }
 
--- a/servers/relay/fleet_state.h
+++ b/servers/relay/fleet_state.h
@@ -52,7 +52,7 @@
     PeerReport reportFor(const NodeName &peer, TimePoint now);
 
     /** Records that the store confirmed this node's entry. */
-    void noteRegistered(const StoreState &state) { nodes_.noteRegistered(state); }
+    void noteRegistered(const StoreState &state, TimePoint now) { nodes_.noteRegistered(state, now); }
 
     /** What an upstream states about itself. Returns false if this is known. */
     bool noteNotice(const UpstreamIdentity &upstream, const UpstreamNotice &notice, TimePoint now);
--- a/servers/relay/node_registry.cpp
+++ b/servers/relay/node_registry.cpp
@@ -21,6 +21,10 @@
             }
         }
     }
+    const auto isOwn = [this](const PeerNode &node) { return node.node == self_ && node.incarnation == incarnation_; };
+    if (asOf >= registeredAt_ && std::none_of(stored.nodes.begin(), stored.nodes.end(), isOwn)) {
+        registeredEra_.reset();
+    }
     isComplete_ = isComplete_ || !eras.mayLackRows(asOf);
     nodes_ = std::move(nodes);
     listAsOf_ = asOf;
@@ -39,7 +43,8 @@
     if (!listAsOf_.has_value()) {
         return std::nullopt;
     }
-    return isComplete_ ? nodes_.size() : std::max(nodes_.size(), MinSharingNodes);
+    const std::size_t nodes = nodes_.size() + (find(self_) == nullptr ? 1 : 0);
+    return isComplete_ ? nodes : std::max(nodes, MinSharingNodes);
 }
 
 std::size_t NodeRegistry::rank(const NodeName &node, std::uint64_t key) const
@@ -51,6 +56,13 @@
     }));
 }
 
+const PeerNode *NodeRegistry::find(const NodeName &node) const
+{
+    const auto found =
+        std::find_if(nodes_.begin(), nodes_.end(), [&node](const PeerNode &listed) { return listed.node == node; });
+    return found == nodes_.end() ? nullptr : &*found;
+}
+
 void NodeRegistry::completeLastList(const StoreEras &eras)
 {
     if (listAsOf_.has_value() && listEra_ == eras.era() && !eras.mayLackRows(*listAsOf_)) {
--- a/servers/relay/peer_view.h
+++ b/servers/relay/peer_view.h
@@ -20,6 +20,10 @@
     std::string address;
     /** Share of a processor core that the node may use; 0 if not stated. */
     double processorShare = 0.0;
+    /** Unique per start of the node; 0 if not stated. */
+    std::uint64_t incarnation = 0;
+    /** Version of its row in the store. */
+    std::uint64_t rowVersion = 0;
 
     auto operator<=>(const PeerNode &) const = default;
 };
@@ -48,6 +52,9 @@
     /** The sentAt of the newest report from the receiver that the sender had received when it sent this one, on the
      *  receiver's clock; default-constructed if there was none. It proves that this report was sent after that time. */
     TimePoint sentAfter;
+    /** False if the sender has lately read a list of nodes without the receiver. */
+    bool listsReceiver = true;
+
     auto operator<=>(const PeerReport &) const = default;
 };
 
@@ -78,6 +85,8 @@
     /** Peers to which reports are sent. */
     std::vector<PeerNode> targets() const;
 
+    bool isListed(const NodeName &node) const { return nodes_.count(node) != 0; }
+
     /** The listed node with this address; nullptr if there is none. */
     const PeerNode *nodeAt(const std::string &address) const;
 
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -54,7 +54,7 @@
     void updateNodes(const StoredNodes &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
     /** Records that the store confirmed this node's entry. */
-    void nodeRegistered(const StoreState &state) { fleet_.noteRegistered(state); }
+    void nodeRegistered(const StoreState &state, TimePoint now) { fleet_.noteRegistered(state, now); }
 
     /** Handles the report of another relay. */
     void peerReportReceived(const PeerReport &report, TimePoint now, RelayCommands &commands);
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -91,6 +91,39 @@
     EXPECT_EQ(readNotes().pools[pool].note, second);
 }
 
+// Guards against a late removal taking away an entry that was written after it was sent.
+TEST_F(PlatformStoreTest, NodeIsRemovedOnlyAsItWasRead)
+{
+    PeerNode node { NodeName("front-1"), DataCenterName("dc"), "10.1.2.3:70", 0.25, 0xFFFFFFFFFFFFFFF1 };
+    const auto write = [&]() {
+        std::optional<bool> isWritten;
+        client_.writeNode(node, [&](const Result<StoreState> &result) { isWritten = succeeded(result); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isWritten.has_value(); }));
+    };
+    const auto read = [&]() {
+        std::optional<Result<StoredNodes>> result;
+        client_.readNodes([&](Result<StoredNodes> stored) { result = std::move(stored); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
+        return valueOf(*result).nodes;
+    };
+    const auto remove = [&](const PeerNode &removed) {
+        std::optional<bool> isRemoved;
+        client_.removeNode(removed, [&](const Result<StoreState> &result) { isRemoved = succeeded(result); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isRemoved.has_value(); }));
+        return *isRemoved;
+    };
+    write();
+    const std::vector<PeerNode> first = read();
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first.front().incarnation, node.incarnation);
+    node.incarnation = 2;
+    write();
+    EXPECT_FALSE(remove(first.front()));
+    ASSERT_EQ(read().size(), 1U);
+    EXPECT_TRUE(remove(read().front()));
+    EXPECT_TRUE(read().empty());
+}
+
 TEST_F(PlatformStoreTest, OriginsAreReadAsTheyWereWritten)
 {
     const StreamOrigin first { PoolName("engines"), "v1" };
--- a/tests/servers/relay/upstream_limits_test.cpp
+++ b/tests/servers/relay/upstream_limits_test.cpp
@@ -55,7 +55,7 @@
     /** The node reads the list of nodes and the store's clock. */
     void list(Node &node)
     {
-        NodeRegistry registry;
+        NodeRegistry registry(node.name, 1);
         StoreEras eras;
         registry.update({ listed_, {} }, eras, clock_.now());
         node.view.updateNodes(listed_);
