--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -124,6 +124,32 @@
     EXPECT_TRUE(read().empty());
 }
 
+// Guards against a late release taking away a part that was quarantined anew.
+TEST_F(PlatformStoreTest, QuarantinedPartIsRemovedOnlyAsItWasRead)
+{
+    constexpr std::uint64_t Part = 0xdead01;
+    PlatformStore other(loop_.context(), store_.address(), std::chrono::milliseconds(200));
+    const auto update = [&](PlatformStore &client, const QuarantineUpdate &changes) {
+        std::optional<bool> isDone;
+        client.updateQuarantine(changes, [&](const Result<StoreState> &result) { isDone = succeeded(result); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isDone.has_value(); }));
+        return *isDone;
+    };
+    const auto read = [&]() {
+        std::optional<Result<StoredQuarantine>> result;
+        client_.readQuarantine([&](Result<StoredQuarantine> stored) { result = std::move(stored); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
+        return valueOf(*result).crashes;
+    };
+    EXPECT_TRUE(update(other, { { { Part, 3 } }, {} }));
+    EXPECT_EQ(read().size(), 1U);
+    EXPECT_TRUE(update(other, { { { Part, 4 } }, {} }));
+    EXPECT_FALSE(update(client_, { {}, { Part } }));
+    EXPECT_EQ(read(), (std::map<std::uint64_t, std::uint32_t> { { Part, 4 } }));
+    EXPECT_TRUE(update(client_, { {}, { Part } }));
+    EXPECT_TRUE(read().empty());
+}
+
 TEST_F(PlatformStoreTest, OriginsAreReadAsTheyWereWritten)
 {
     const StreamOrigin first { PoolName("engines"), "v1" };
