Let one node a data centre store the origins of all its streams

Cause: a node wrote the origins of its unfinished streams at most every 0.5 s, and every 10 ms for each node of the fleet, so that all together stay at 100 writes a second: 0.76 s with 76 nodes, 3.8 s with 380. Streams of less than a second are known to nobody once the nodes that keep copies are lost as well. Ruled out: the searches (each ends at step=stored_origins with an answer of the store), the notes on versions (they cannot tell two versions apart), and the reading of the rows.

Change: the nodes of a data centre report their unfinished streams to the node that collects their work, at once, at most every 50 ms or 2 ms for each node. It writes one row for all, at most every 100 ms, 10 ms for each data centre, or 160 us for each stream. A report is complete, so a lost one does no harm, and the streams of a node that has ended stay for their lifetime. The collector's answers to reports of work tell which report is stored. What is not stored 0.6 s after its report a node stores itself, as often as before. OriginKeeper holds all this; StreamLocator only searches.

A node sends up to 20 datagrams a second; a collector of 76 nodes gets 500 at most. One version: nothing, as before.

--- a/drivers/peers/peer_codec.cpp
+++ b/drivers/peers/peer_codec.cpp
@@ -66,6 +66,22 @@
     return { PoolName(textOf(reader.getPool())), textOf(reader.getVersion()) };
 }
 
+OriginReport readOrigins(PeerWire::OriginReport::Reader reader)
+{
+    OriginReport report;
+    report.node = NodeName(textOf(reader.getNode()));
+    report.incarnation = reader.getIncarnation();
+    report.sequence = reader.getSequence();
+    report.lifetime = durationOf(reader.getLifetime());
+    for (const PeerWire::OriginStreams::Reader item : reader.getStreams()) {
+        std::vector<std::uint64_t> &hashes = report.streams[readOrigin(item.getOrigin())];
+        for (const std::uint64_t hash : item.getStreams()) {
+            hashes.push_back(hash);
+        }
+    }
+    return report;
+}
+
 std::optional<Duration> readAge(std::int64_t microseconds)
 {
     return microseconds < 0 ? std::nullopt : std::optional<Duration>(durationOf(microseconds));
@@ -124,7 +140,8 @@
         const PeerWire::WorkTotals::Reader totals = reader.getTotals();
         return WorkTotals { NodeName(textOf(totals.getCollector())),
                             totals.getSequence(),
-                            readWork(totals.getOthers()) };
+                            readWork(totals.getOthers()),
+                            totals.getStoredOrigins() };
     }
     case PeerWire::Datagram::STREAM_RECORD: {
         const PeerWire::StreamRecord::Reader record = reader.getStreamRecord();
@@ -149,6 +166,8 @@
         return readCrashes(reader.getCrashes());
     case PeerWire::Datagram::LIMITS:
         return readLimits(reader.getLimits());
+    case PeerWire::Datagram::ORIGINS:
+        return readOrigins(reader.getOrigins());
     }
     return std::nullopt;
 }
@@ -214,6 +233,7 @@
     builder.setCollector(pointerTo(totals.collector.text()));
     builder.setSequence(totals.sequence);
     writeWork(totals.others, builder.initOthers());
+    builder.setStoredOrigins(totals.storedOrigins);
 }
 
 void writeOrigin(const StreamOrigin &origin, PeerWire::StreamOrigin::Builder builder)
@@ -248,6 +268,23 @@
     }
 }
 
+void write(const OriginReport &report, PeerWire::Datagram::Builder datagram)
+{
+    PeerWire::OriginReport::Builder builder = datagram.initOrigins();
+    builder.setNode(pointerTo(report.node.text()));
+    builder.setIncarnation(report.incarnation);
+    builder.setSequence(report.sequence);
+    builder.setLifetime(report.lifetime.count());
+    capnp::List<PeerWire::OriginStreams>::Builder streams =
+        builder.initStreams(static_cast<unsigned>(report.streams.size()));
+    unsigned index = 0;
+    for (const auto &[origin, hashes] : report.streams) {
+        PeerWire::OriginStreams::Builder target = streams[index++];
+        writeOrigin(origin, target.initOrigin());
+        target.setStreams(kj::arrayPtr(hashes.data(), hashes.size()));
+    }
+}
+
 void write(const CrashReport &report, PeerWire::Datagram::Builder datagram)
 {
     constexpr std::int64_t NoAge = -1;
--- a/drivers/peers/peer_codec.h
+++ b/drivers/peers/peer_codec.h
@@ -11,8 +11,15 @@
 namespace GeraniumLever {
 
 /** Any message between relays. */
-using PeerDatagram =
-    std::variant<PeerReport, WorkReport, WorkTotals, StreamRecord, StreamQuery, StreamReply, CrashReport, LimitReport>;
+using PeerDatagram = std::variant<PeerReport,
+                                  WorkReport,
+                                  WorkTotals,
+                                  StreamRecord,
+                                  StreamQuery,
+                                  StreamReply,
+                                  CrashReport,
+                                  LimitReport,
+                                  OriginReport>;
 
 std::string encodePeerDatagram(const PeerDatagram &message);
 
--- a/drivers/peers/peers.capnp
+++ b/drivers/peers/peers.capnp
@@ -16,6 +16,7 @@
     streamReply @5 :StreamReply;
     crashes @6 :CrashReport;
     limits @7 :LimitReport;
+    origins @8 :OriginReport;
   }
 }
 
@@ -49,6 +50,7 @@
   collector @0 :Text;
   sequence @1 :UInt64;
   others @2 :WorkAccount;
+  storedOrigins @3 :UInt64;
 }
 
 struct PeerReport {
@@ -90,6 +92,19 @@
   origin @2 :StreamOrigin;
 }
 
+struct OriginStreams {
+  origin @0 :StreamOrigin;
+  streams @1 :List(UInt64);
+}
+
+struct OriginReport {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  lifetime @3 :Int64;
+  streams @4 :List(OriginStreams);
+}
+
 struct SuspectedCrash {
   upstream @0 :UInt64;
   age @1 :Int64;
--- a/main/relay/peer_exchange.cpp
+++ b/main/relay/peer_exchange.cpp
@@ -307,6 +307,11 @@
     observer_.limitReportReceived(report);
 }
 
+void PeerExchange::handle(const PeerNode &, const OriginReport &report)
+{
+    system_.originReportReceived(report, clock_.now());
+}
+
 void PeerExchange::handle(const PeerNode &, const StreamReply &reply)
 {
     observer_.streamReplyReceived(reply);
--- a/main/relay/peer_exchange.h
+++ b/main/relay/peer_exchange.h
@@ -65,6 +65,7 @@
     void handle(const PeerNode &peer, const StreamRecord &record);
     void handle(const PeerNode &peer, const StreamQuery &query);
     void handle(const PeerNode &peer, const StreamReply &reply);
+    void handle(const PeerNode &peer, const OriginReport &report);
     void handle(const PeerNode &peer, const CrashReport &report);
     void handle(const PeerNode &peer, const LimitReport &report);
 
--- a/main/relay/relay_node.cpp
+++ b/main/relay/relay_node.cpp
@@ -380,6 +380,7 @@
     void busyTick()
     {
         perform([&](RelayCommands &commands) { system.tick(clock.now(), commands); });
+        storedOriginSync.check();
         if (system.inFlight() != 0) {
             startBusyTimer();
         }
--- a/main/relay/stored_origin_sync.cpp
+++ b/main/relay/stored_origin_sync.cpp
@@ -45,7 +45,7 @@
     if (writing_) {
         return;
     }
-    std::optional<StoredOriginRow> row = system_.takeOriginBackup(clock_.now());
+    std::optional<StoredOriginRow> row = system_.takeOriginRow(clock_.now());
     if (row.has_value()) {
         write(std::move(*row));
     }
@@ -57,10 +57,12 @@
     store_.writeStoredOrigins(
         { key_, std::move(row), std::exchange(outdatedRows_, {}) }, [this](const Result<StoreState> &result) {
             writing_ = false;
-            if (!succeeded(result)) {
-                system_.originBackupFailed();
-                LOG(WARNING) << "event=origins_not_stored message=\"" << errorOf(result).message << '"';
+            if (succeeded(result)) {
+                system_.originRowStored();
+                return;
             }
+            system_.originRowFailed();
+            LOG(WARNING) << "event=origins_not_stored message=\"" << errorOf(result).message << '"';
         });
 }
 
--- a/servers/relay/relay_system.cpp
+++ b/servers/relay/relay_system.cpp
@@ -36,7 +36,7 @@
     , workExchange_(settings_.node, settings_.dataCenter, settings_.origin)
     , placement_(settings_.dataCenter, fleet_, settings_.seed + 2)
     , limits_(settings_.node, fleet_, placement_)
-    , locator_(settings_.node, settings_.dataCenter, fleet_)
+    , locator_(settings_.node, settings_.dataCenter, settings_.origin, fleet_)
     , crashes_(settings_.node, fleet_, placement_, settings_.seed + 3)
     , random_(settings_.seed + 1)
     , attempts_(settings_.origin, placement_)
@@ -102,11 +102,16 @@
 
 std::optional<WorkTotals> RelaySystem::workReportReceived(const WorkReport &report, TimePoint now)
 {
-    return workExchange_.receive(report, now);
+    std::optional<WorkTotals> totals = workExchange_.receive(report, now);
+    if (totals.has_value()) {
+        totals->storedOrigins = locator_.keeper().storedSequence(report.node, report.incarnation);
+    }
+    return totals;
 }
 
 void RelaySystem::workTotalsReceived(const WorkTotals &totals, TimePoint now)
 {
+    locator_.keeper().noteReportStored(totals.storedOrigins);
     if (workExchange_.receive(totals)) {
         placement_.updateOthers(fleet_.directory(), totals.others, now);
     }
@@ -634,7 +639,7 @@
         leaveQueue(*row);
         giveUp(*row, now >= row->deadline ? GiveUpReason::Deadline : GiveUpReason::WaitTimeout, now, commands);
     }
-    locator_.tick(now, commands);
+    locator_.tick(workExchange_.collector(now), now, commands);
     handleLocatedStreams(now, commands);
     crashes_.tick(now, commands);
     limits_.tick(now, commands);
--- a/servers/relay/relay_system.h
+++ b/servers/relay/relay_system.h
@@ -84,11 +84,14 @@
     /** Handles what the store keeps of all nodes' streams, which was read by a call that was sent at asOf. */
     void storedOriginsRead(const StoredOrigins &stored, TimePoint asOf, TimePoint now, RelayCommands &commands);
 
-    /** The row of this node's streams for the store if it must be written now. */
-    std::optional<StoredOriginRow> takeOriginBackup(TimePoint now) { return locator_.takeBackup(now); }
+    void originReportReceived(const OriginReport &report, TimePoint now) { locator_.keeper().receive(report, now); }
 
-    /** Records that the row that was taken last may not have been written. */
-    void originBackupFailed() { locator_.backupFailed(); }
+    /** The row of origins that this node must write to the store now. */
+    std::optional<StoredOriginRow> takeOriginRow(TimePoint now) { return locator_.keeper().takeRow(now); }
+
+    /** Records that the row that was taken last has been written, or may not have been. */
+    void originRowStored() { locator_.keeper().noteStored(); }
+    void originRowFailed() { locator_.keeper().noteFailed(); }
 
     /** Handles what another relay knows about crashes. */
     void crashReportReceived(const CrashReport &report, TimePoint now) { crashes_.reportReceived(report, now); }
--- a/servers/relay/stored_origins.cpp
+++ b/servers/relay/stored_origins.cpp
@@ -50,37 +50,43 @@
     return keys;
 }
 
-void OriginBackup::add(const std::string &stream, const StreamOrigin &origin, TimePoint expiresAt)
+bool UnfinishedStreams::add(const std::string &stream, const StreamOrigin &origin, TimePoint expiresAt)
 {
-    if (entries_.size() < MaxEntries) {
-        entries_[hashOf(stream)] = { origin, expiresAt };
-        hasChanged_ = true;
+    if (entries_.size() >= MaxEntries) {
+        return false;
     }
+    entries_[hashOf(stream)] = { origin, expiresAt };
+    return true;
 }
 
-void OriginBackup::remove(const std::string &stream)
+bool UnfinishedStreams::remove(const std::string &stream)
 {
-    hasChanged_ = entries_.erase(hashOf(stream)) > 0 || hasChanged_;
+    return entries_.erase(hashOf(stream)) > 0;
 }
 
-void OriginBackup::expire(TimePoint now)
+bool UnfinishedStreams::expire(TimePoint now)
 {
-    const std::size_t expired =
-        std::erase_if(entries_, [now](const auto &item) { return now >= item.second.expiresAt; });
-    hasChanged_ = expired > 0 || hasChanged_;
+    return std::erase_if(entries_, [now](const auto &item) { return now >= item.second.expiresAt; }) > 0;
 }
 
-StoredOriginRow OriginBackup::takeRow(const std::set<PoolName> &pools, Duration storeNow)
+OriginStreams UnfinishedStreams::streamsOf(const std::set<PoolName> &pools) const
 {
-    hasChanged_ = false;
-    StoredOriginRow row;
-    row.writtenAt = storeNow;
+    OriginStreams streams;
     for (const auto &[hash, entry] : entries_) {
         if (pools.count(entry.origin.pool) > 0) {
-            row.streams[entry.origin].push_back(hash);
+            streams[entry.origin].push_back(hash);
         }
     }
-    return row;
+    return streams;
+}
+
+Duration UnfinishedStreams::lifetime(TimePoint now) const
+{
+    Duration longest(0);
+    for (const auto &[hash, entry] : entries_) {
+        longest = std::max(longest, entry.expiresAt - now);
+    }
+    return longest;
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/stored_origins.h
+++ b/servers/relay/stored_origins.h
@@ -13,13 +13,10 @@
 
 namespace GeraniumLever {
 
-/** The unfinished streams of one node. */
+/** The unfinished streams of one or more nodes. */
 struct StoredOriginRow
 {
-    /** Hashes of the streams' identifiers. */
-    using Streams = std::map<StreamOrigin, std::vector<std::uint64_t>>;
-
-    Streams streams;
+    OriginStreams streams;
     /** The store's clock when the row was written, as far as the node knew it. */
     Duration writtenAt { 0 };
 
@@ -50,19 +47,22 @@
     auto operator<=>(const StoredOriginUpdate &) const = default;
 };
 
-/** The unfinished streams of this node, for its row in the store. */
-class OriginBackup
+/** The unfinished streams of this node. */
+class UnfinishedStreams
 {
 public:
-    void add(const std::string &stream, const StreamOrigin &origin, TimePoint expiresAt);
-    void remove(const std::string &stream);
-    void expire(TimePoint now);
+    /** Returns false if there is no room. */
+    bool add(const std::string &stream, const StreamOrigin &origin, TimePoint expiresAt);
+    /** Returns false if the stream is not known. */
+    bool remove(const std::string &stream);
+    /** Returns true if a stream was dropped that can no longer be taken up. */
+    bool expire(TimePoint now);
 
-    /** True if the streams have changed since the last call of takeRow(). */
-    bool hasChanged() const { return hasChanged_; }
+    /** The streams of the pools. */
+    OriginStreams streamsOf(const std::set<PoolName> &pools) const;
 
-    /** The row that the store should have: the streams of the pools. */
-    StoredOriginRow takeRow(const std::set<PoolName> &pools, Duration storeNow);
+    /** For how long the last of the streams may be taken up again. */
+    Duration lifetime(TimePoint now) const;
 
 private:
     struct Entry
@@ -72,7 +72,6 @@
     };
 
     std::map<std::uint64_t, Entry> entries_;
-    bool hasChanged_ = false;
 };
 
 } // namespace GeraniumLever
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -10,11 +10,6 @@
 
 /** How long an answer of the store is awaited. */
 constexpr Duration StoreTimeout = std::chrono::milliseconds(300);
-/** Period in which a node's unfinished streams are written to the store. */
-constexpr Duration MinBackupPeriod = std::chrono::milliseconds(500);
-/** With more nodes, so that all together write 100 times a second. */
-constexpr Duration BackupPeriodPerNode = std::chrono::milliseconds(10);
-
 /** How long an origin that was found in the store is remembered. */
 constexpr Duration MaxStoredOriginAge = std::chrono::seconds(20);
 
@@ -22,39 +17,18 @@
 
 } // namespace
 
+void StreamLocator::updateNodes(const std::vector<PeerNode> &nodes)
+{
+    origins_.updateNodes(nodes);
+    keeper_.updateNodes(nodes, dataCenter_);
+}
+
 void StreamLocator::shareOrigin(const RelayRow &row, TimePoint now, RelayCommands &commands)
 {
     std::vector<OutgoingStreamMessage> copies =
         origins_.record(row.stream(), { row.pool, *row.streamVersion }, row.streamLifetime(), now);
     std::move(copies.begin(), copies.end(), std::back_inserter(commands));
-    backup_.add(row.stream(), { row.pool, *row.streamVersion }, now + row.streamLifetime());
-}
-
-std::optional<StoredOriginRow> StreamLocator::takeBackup(TimePoint now)
-{
-    backup_.expire(now);
-    if (fleet_.storeEras().era() != backupEra_) {
-        // A restored store may have lost the row.
-        backupEra_ = fleet_.storeEras().era();
-        storedStreams_.reset();
-    }
-    if (now < nextBackup_ || (!backup_.hasChanged() && storedStreams_.has_value())) {
-        return std::nullopt;
-    }
-    const std::set<PoolName> pools = fleet_.ambiguousPools(now);
-    const std::optional<Duration> storeNow = fleet_.versionNotes().storeTime(now);
-    const bool hasEmptyRow = storedStreams_.has_value() && storedStreams_->empty();
-    if (!storeNow.has_value() || (pools.empty() && hasEmptyRow)) {
-        return std::nullopt;
-    }
-    const std::size_t nodes = fleet_.nodes().sharingNodes().value_or(NodeRegistry::MinSharingNodes);
-    nextBackup_ = now + std::max(MinBackupPeriod, BackupPeriodPerNode * static_cast<Duration::rep>(nodes));
-    StoredOriginRow row = backup_.takeRow(pools, *storeNow);
-    if (row.streams == storedStreams_) {
-        return std::nullopt;
-    }
-    storedStreams_ = row.streams;
-    return row;
+    keeper_.add(row.stream(), { row.pool, *row.streamVersion }, row.streamLifetime(), now);
 }
 
 void StreamLocator::startSearch(const RelayRow &row, TimePoint now, RelayCommands &commands)
@@ -162,8 +136,9 @@
         });
 }
 
-void StreamLocator::tick(TimePoint now, RelayCommands &commands)
+void StreamLocator::tick(const PeerNode *collector, TimePoint now, RelayCommands &commands)
 {
+    keeper_.tick(collector, now, commands);
     for (auto &[request, search] : searches_) {
         if (search.step == SearchStep::AskingNodes && now - search.since >= StreamLookupTimeout) {
             // The nodes that remember the stream may be gone for good, and the store's proof does not need them.
--- a/servers/relay/stream_locator.h
+++ b/servers/relay/stream_locator.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "servers/relay/fleet_state.h"
+#include "servers/relay/origin_keeper.h"
 #include "servers/relay/relay_row.h"
-#include "servers/relay/stored_origins.h"
 #include "servers/relay/stream_origins.h"
 
 namespace GeraniumLever {
@@ -43,12 +43,15 @@
 {
 public:
     /** fleet: must outlive the locator. */
-    StreamLocator(const NodeName &self, const DataCenterName &dataCenter, const FleetState &fleet)
-        : fleet_(fleet), origins_(self, dataCenter)
+    StreamLocator(const NodeName &self,
+                  const DataCenterName &dataCenter,
+                  std::uint64_t incarnation,
+                  const FleetState &fleet)
+        : fleet_(fleet), dataCenter_(dataCenter), origins_(self, dataCenter), keeper_(self, incarnation, fleet)
     {
     }
 
-    void updateNodes(const std::vector<PeerNode> &nodes) { origins_.updateNodes(nodes); }
+    void updateNodes(const std::vector<PeerNode> &nodes);
 
     /** Makes the origin of a stream that now begins, or goes on, known to other nodes. */
     void shareOrigin(const RelayRow &row, TimePoint now, RelayCommands &commands);
@@ -61,7 +64,7 @@
     void receive(const StreamReply &reply, TimePoint now, RelayCommands &commands);
 
     /** Records that the caller has received the whole stream. */
-    void streamCompleted(const RelayRow &row) { backup_.remove(row.stream()); }
+    void streamCompleted(const RelayRow &row) { keeper_.remove(row.stream()); }
 
     /** Records that the fleet's notes on versions were read, by a read that was sent at asOf. */
     void notesRead(TimePoint asOf, TimePoint now, RelayCommands &commands);
@@ -69,14 +72,13 @@
     /** Handles what the store keeps of all nodes' streams, which was read by a call that was sent at asOf. */
     void storedOriginsRead(const StoredOrigins &stored, TimePoint asOf, TimePoint now);
 
-    /** The row of this node's streams for the store if it must be written now. */
-    std::optional<StoredOriginRow> takeBackup(TimePoint now);
+    /** What keeps the origins of unfinished streams in the store. */
+    OriginKeeper &keeper() { return keeper_; }
+    const OriginKeeper &keeper() const { return keeper_; }
 
-    /** Records that the row that was taken last may not have been written. */
-    void backupFailed() { storedStreams_.reset(); }
-
-    /** To be called every few tens of milliseconds. */
-    void tick(TimePoint now, RelayCommands &commands);
+    /** collector: the node that stores the origins of this data centre; nullptr if none is known. To be called every
+     * few tens of milliseconds. */
+    void tick(const PeerNode *collector, TimePoint now, RelayCommands &commands);
 
     /** Returns, and forgets, the requests whose search has ended. */
     std::vector<LocatedStream> takeLocated() { return std::exchange(located_, {}); }
@@ -101,13 +103,9 @@
     void end(TimePoint now, Condition condition, Origin origin);
 
     const FleetState &fleet_;
+    DataCenterName dataCenter_;
     StreamOrigins origins_;
-    OriginBackup backup_;
-    TimePoint nextBackup_;
-    /** What this node's row in the store says; absent if that is not known. */
-    std::optional<StoredOriginRow::Streams> storedStreams_ = StoredOriginRow::Streams();
-    /** The store's era in which the row was written. */
-    std::uint64_t backupEra_ = 0;
+    OriginKeeper keeper_;
     std::map<RequestId, Search> searches_;
     std::vector<LocatedStream> located_;
 };
--- a/servers/relay/stream_messages.h
+++ b/servers/relay/stream_messages.h
@@ -1,9 +1,12 @@
 /** Messages in which relays tell each other where streams began. */
 #pragma once
 
+#include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "core/core.h"
 
@@ -19,6 +22,9 @@
     auto operator<=>(const StreamOrigin &) const = default;
 };
 
+/** Hashes of streams' identifiers by the origins of the streams. */
+using OriginStreams = std::map<StreamOrigin, std::vector<std::uint64_t>>;
+
 /** Asks the receiver to remember where a stream began. Not acknowledged. */
 struct StreamRecord
 {
@@ -51,7 +57,22 @@
     auto operator<=>(const StreamReply &) const = default;
 };
 
-using StreamMessage = std::variant<StreamRecord, StreamQuery, StreamReply>;
+/** The unfinished streams of the sender, to be stored by the receiver. Replaces the sender's previous report, so that
+ * lost reports do no harm. Answered by WorkTotals. */
+struct OriginReport
+{
+    NodeName node;
+    std::uint64_t incarnation = 0;
+    /** Increases with each report of one incarnation. */
+    std::uint64_t sequence = 0;
+    /** For how long the last of the streams may be taken up again. */
+    Duration lifetime { 0 };
+    OriginStreams streams;
+
+    auto operator<=>(const OriginReport &) const = default;
+};
+
+using StreamMessage = std::variant<StreamRecord, StreamQuery, StreamReply, OriginReport>;
 
 /** Sends a message to another relay. */
 struct OutgoingStreamMessage
--- a/servers/relay/work_reports.h
+++ b/servers/relay/work_reports.h
@@ -68,6 +68,8 @@
     /** Sequence of the report that is answered. */
     std::uint64_t sequence = 0;
     WorkAccount others;
+    /** Sequence of the node's newest report of origins that the collector has stored; 0 if there is none. */
+    std::uint64_t storedOrigins = 0;
 
     auto operator<=>(const WorkTotals &) const = default;
 };
--- a/tests/drivers/peers/malformed_datagrams_test.cpp
+++ b/tests/drivers/peers/malformed_datagrams_test.cpp
@@ -42,6 +42,7 @@
     }
     void handle(const WorkReport &report) { system_.workReportReceived(report, clock_.now()); }
     void handle(const WorkTotals &totals) { system_.workTotalsReceived(totals, clock_.now()); }
+    void handle(const OriginReport &report) { system_.originReportReceived(report, clock_.now()); }
     void handle(const StreamRecord &record) { system_.streamRecordReceived(record, clock_.now()); }
     void handle(const StreamQuery &query) { system_.answerStreamQuery(query, clock_.now()); }
     void handle(const StreamReply &reply)
@@ -101,6 +102,7 @@
                           { { 7, std::chrono::milliseconds(3), std::chrono::milliseconds(9) } },
                           std::chrono::milliseconds(5),
                           {} } } },
+        OriginReport { sender, 5, 6, std::chrono::seconds(20), { { origin, { 1, 2 } } } },
         LimitReport { sender, { { UpstreamName("e1"), 2.9, FleetTime(std::chrono::seconds(7)), FleetTime() } } },
     };
     int decoded = 0;
--- a/tests/drivers/peers/peer_codec_test.cpp
+++ b/tests/drivers/peers/peer_codec_test.cpp
@@ -27,7 +27,7 @@
     const WorkReport work {
         NodeName("node-2"), 5, 6, true, { { { 1, 2, 3, 4 }, { 0xffffffff, 7, 8, 0 } }, { { 200, 77 } } }
     };
-    const WorkTotals totals { NodeName("node-3"), 9, { { { 1, 20, 30, 40 } }, { { 200, 5 }, { 800, 6 } } } };
+    const WorkTotals totals { NodeName("node-3"), 9, { { { 1, 20, 30, 40 } }, { { 200, 5 }, { 800, 6 } } }, 11 };
     const StreamOrigin origin { PoolName("engines"), "v1.1" };
     const StreamRecord record { NodeName("node-4"), "r1", origin, std::chrono::seconds(20) };
     const StreamQuery query { NodeName("node-5"), "r1" };
@@ -46,9 +46,12 @@
         { { UpstreamName("i-1"), 2.9, FleetTime(seconds(7)), FleetTime(seconds(8)) },
           { UpstreamName("i-2"), std::nullopt, FleetTime(seconds(9)), FleetTime(seconds(9)) } }
     };
-    const PeerDatagram messages[] = { sampleReport(), PeerReport {},  work,   WorkReport {}, totals,
-                                      WorkTotals {},  record,         query,  known,         unknown,
-                                      crashes,        CrashReport {}, limits, LimitReport {} };
+    const OriginReport origins {
+        NodeName("node-10"), 3, 4, seconds(20), { { origin, { 1, 0xfedcba9876543210 } }, { {}, { 5 } } }
+    };
+    const PeerDatagram messages[] = { sampleReport(), PeerReport {},  work,    WorkReport {},  totals,  WorkTotals {},
+                                      record,         query,          known,   unknown,        crashes, CrashReport {},
+                                      limits,         LimitReport {}, origins, OriginReport {} };
     for (const PeerDatagram &message : messages) {
         EXPECT_EQ(decodePeerDatagram(encodePeerDatagram(message)), message) << message.index();
     }
@@ -66,6 +69,16 @@
     EXPECT_LE(encodePeerDatagram(report).size(), 200U);
 }
 
+TEST(PeerCodecTest, OriginReportFitsIntoADatagram)
+{
+    constexpr std::size_t MaxBytes = 1400;
+    OriginReport report { NodeName("front-casnewydd-b-100"), 1, 2, seconds(20), {} };
+    for (const char *version : { "1.20.300", "1.20.301" }) {
+        report.streams[{ PoolName("an-assistant-pool"), version }].resize(OriginKeeper::MaxReported / 2);
+    }
+    EXPECT_LE(encodePeerDatagram(report).size(), MaxBytes);
+}
+
 TEST(PeerCodecTest, InvalidBytesAreRejected)
 {
     const std::string bytes = encodePeerDatagram(sampleReport());
--- a/tests/servers/relay/fleet_fixture.cpp
+++ b/tests/servers/relay/fleet_fixture.cpp
@@ -117,10 +117,11 @@
 
 void FleetFixture::keepOrigins(const std::string &address)
 {
-    std::optional<StoredOriginRow> row = nodes_.at(address)->takeOriginBackup(clock_.now());
+    std::optional<StoredOriginRow> row = nodes_.at(address)->takeOriginRow(clock_.now());
     if (row.has_value()) {
         storedOrigins_.rows[address + "/" + std::to_string(lastOrigin_)] = std::move(*row);
         ++originWrites_;
+        nodes_.at(address)->originRowStored();
     }
 }
 
@@ -150,6 +151,9 @@
                 keepOrigins(address);
             }
         }
+        if (clock_.now().time_since_epoch() % WorkReportPeriod < Step) {
+            reportWork();
+        }
         if (sinceRead_ >= seconds(1)) {
             sinceRead_ = Duration(0);
             readStore();
@@ -157,6 +161,22 @@
     }
 }
 
+void FleetFixture::reportWork()
+{
+    for (auto &[address, node] : nodes_) {
+        for (const OutgoingWorkReport &message : node->reportWork(clock_.now())) {
+            const auto receiver = nodes_.find(message.address);
+            if (receiver == nodes_.end() || silent_.count(address) + silent_.count(message.address) > 0) {
+                continue;
+            }
+            const std::optional<WorkTotals> totals = receiver->second->workReportReceived(message.report, clock_.now());
+            if (totals.has_value()) {
+                node->workTotalsReceived(*totals, clock_.now());
+            }
+        }
+    }
+}
+
 void FleetFixture::send(const std::string &address,
                         const std::string &id,
                         const std::string &lastEvent,
@@ -204,6 +224,8 @@
         receiver->second->streamRecordReceived(*record, clock_.now());
     } else if (const auto *query = std::get_if<StreamQuery>(&message.message)) {
         deliver(message.address, { from, receiver->second->answerStreamQuery(*query, clock_.now()) });
+    } else if (const auto *report = std::get_if<OriginReport>(&message.message)) {
+        receiver->second->originReportReceived(*report, clock_.now());
     } else if (const auto *reply = std::get_if<StreamReply>(&message.message)) {
         receiver->second->streamReplyReceived(*reply, clock_.now(), commands);
         deliver(message.address, commands);
--- a/tests/servers/relay/fleet_fixture.h
+++ b/tests/servers/relay/fleet_fixture.h
@@ -52,6 +52,9 @@
 
     void keepNotes(const std::string &address);
 
+    /** Each node reports its work, and learns what has been stored. */
+    void reportWork();
+
     /** All nodes tick, and read the store once a second. */
     void pass(Duration time);
 
--- a/tests/servers/relay/fleet_loss_test.cpp
+++ b/tests/servers/relay/fleet_loss_test.cpp
@@ -1,4 +1,6 @@
 /** Tests how streams go on at the nodes that are left after others were lost for good. */
+#include <deque>
+
 #include "tests/servers/relay/fleet_fixture.h"
 
 namespace GeraniumLever {
@@ -28,12 +30,56 @@
         }
     }
 
+    /** Streams begin all the time, four a second at each node, and end after so long; returns those that have not
+     *  ended. */
+    std::deque<std::string> runStreams(Duration time, Duration length)
+    {
+        std::deque<std::string> running;
+        const std::size_t perStep = std::max<std::size_t>(2, nodes_.size() / 5);
+        const std::size_t atOnce = perStep * static_cast<std::size_t>(length / Step);
+        for (const TimePoint end = clock_.now() + time; clock_.now() < end; pass(Step)) {
+            for (std::size_t number = 0; number < perStep; ++number) {
+                const auto node = std::next(nodes_.begin(), static_cast<std::ptrdiff_t>(lastStream_ % nodes_.size()));
+                running.push_back("stream " + std::to_string(++lastStream_));
+                EXPECT_TRUE(begin(node->first, running.back()));
+                runningAt_[running.back()] = node->first;
+            }
+            while (running.size() > atOnce) {
+                RelayCommands commands;
+                nodes_.at(runningAt_.at(running.front()))
+                    ->ended({ attempts_.at(running.front()) }, clock_.now(), commands);
+                running.pop_front();
+            }
+        }
+        return running;
+    }
+
+    /** Share of the streams that go on, of some that began at different times. */
+    double takeUp(const std::deque<std::string> &streams, const std::string &address)
+    {
+        constexpr std::size_t Most = 40;
+        const std::size_t distance = 1 + streams.size() / Most;
+        int tried = 0;
+        int resumed = 0;
+        for (std::size_t index = 0; index < streams.size(); index += distance) {
+            const std::string again = "again " + streams[index];
+            send(address, again, "3", streams[index]);
+            pass(4 * Step);
+            ++tried;
+            resumed += versions_.contains(again) ? 1 : 0;
+        }
+        return static_cast<double>(resumed) / tried;
+    }
+
     void serveNewVersion()
     {
         serve("new-1", "v2");
         serve("new-2", "v2");
         pass(seconds(10));
     }
+
+    std::size_t lastStream_ = 0;
+    std::map<std::string, std::string> runningAt_;
 };
 
 // Guards against refusing a stream because the nodes that remember it are gone for good.
@@ -70,6 +116,85 @@
     });
 }
 
+// Guards against losing streams that began less than half a second before all nodes were lost, in fleets of any size.
+TEST_F(FleetLossTest, MostShortStreamsOfBothVersionsGoOnAfterTheLossOfAllNodes)
+{
+    constexpr Duration StreamLength = milliseconds(400);
+    for (const int count : { 9, 76, 380 }) {
+        SCOPED_TRACE(count);
+        reset();
+        startNodes(count);
+        pass(seconds(2));
+        serve("new-1", "v2");
+        serve("new-2", "v2");
+        pass(seconds(5));
+        const std::deque<std::string> unfinished = runStreams(seconds(2), StreamLength);
+        killAll();
+        pass(Outage);
+        startNodes(count);
+        EXPECT_GE(takeUp(unfinished, "node-0"), 0.5);
+    }
+}
+
+// Guards against writes that grow with the fleet.
+TEST_F(FleetLossTest, AllNodesTogetherWriteOriginsAtMostAHundredTimesASecond)
+{
+    for (const int count : { 9, 76, 380 }) {
+        reset();
+        startNodes(count);
+        pass(seconds(2));
+        serve("new-1", "v2");
+        pass(seconds(5));
+        const int before = originWrites_;
+        runStreams(seconds(2), milliseconds(400));
+        EXPECT_LE(originWrites_ - before, 2 * 100) << count;
+    }
+}
+
+// Guards against losing the streams of a data centre because the node that stores them for all is silent.
+TEST_F(FleetLossTest, NodesStoreTheirStreamsThemselvesWhileTheCollectorIsSilent)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    serveNewVersion();
+    for (const auto &[address, node] : nodes_) {
+        if (node->workCollector(clock_.now())->address == address) {
+            silent_.insert(address);
+        }
+    }
+    ASSERT_EQ(silent_.size(), 3U) << "one in each data centre";
+    beginStreams();
+    pass(milliseconds(1500));
+    silent_.clear();
+    killAll();
+    pass(Outage);
+    startNodes(9);
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 9);
+}
+
+// Guards against the same if the collector does not reach the store.
+TEST_F(FleetLossTest, NodesStoreTheirStreamsThemselvesWhileTheCollectorHasNoStore)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    serveNewVersion();
+    for (const auto &[address, node] : nodes_) {
+        if (node->workCollector(clock_.now())->address == address) {
+            storeless_.insert(address);
+        }
+    }
+    ASSERT_EQ(storeless_.size(), 3U);
+    beginStreams();
+    pass(milliseconds(1500));
+    storeless_.clear();
+    killAll();
+    pass(Outage);
+    startNodes(9);
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 6) << "all but those of the collectors";
+}
+
 // Guards against losing streams of a route that goes to several pools, of which the notes do not tell the stream's.
 TEST_F(FleetLossTest, StreamsOfASplitRouteGoOnAtTheOnlyNodeThatIsLeft)
 {
@@ -137,7 +262,7 @@
     pass(seconds(1));
     ASSERT_EQ(storedOrigins_.rows.size(), 1U);
     storedOrigins_.rows.clear();
-    nodes_.begin()->second->originBackupFailed();
+    nodes_.begin()->second->originRowFailed();
     pass(seconds(1));
     ASSERT_EQ(storedOrigins_.rows.size(), 1U);
     EXPECT_FALSE(storedOrigins_.rows.begin()->second.streams.empty());
