--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "development/platform_standins/platform_standins.h"
+#include "platform/stored_origin_codec.h"
 #include "tests/drivers/http/event_loop.h"
 
 namespace GeraniumLever {
@@ -187,6 +188,31 @@
     EXPECT_EQ(read().count("n3/3"), 1U);
 }
 
+// Guards against a node that reads the origins now and then getting every row that was written in between.
+TEST_F(PlatformStoreTest, OriginsAreReadWithoutTheirEarlierRows)
+{
+    const auto read = [this]() {
+        bool isRead = false;
+        client_.readStoredOrigins([&](const Result<StoredOrigins> &stored) { isRead = succeeded(stored); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isRead; }));
+    };
+    read();
+    StoredOriginRow row;
+    row.streams[{ PoolName("engines"), "v1" }].resize(200);
+    const std::size_t rowSize = encodeStoredOrigins(row).size();
+    PlatformStore other(loop_.context(), store_.address(), std::chrono::milliseconds(200));
+    for (std::uint64_t number = 0; number < 100; ++number) {
+        bool isWritten = false;
+        row.streams.begin()->second.back() = number;
+        other.writeStoredOrigins({ "n1/1", row, {} },
+                                 [&](const Result<StoreState> &result) { isWritten = succeeded(result); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isWritten; }));
+    }
+    const std::uint64_t before = store_.bytesSent();
+    read();
+    EXPECT_LE(store_.bytesSent() - before, 3 * rowSize);
+}
+
 TEST_F(PlatformStoreTest, NotesThatCannotBeReadAreLeftOut)
 {
     for (const char *text : { "",
