Handle the write before the end of the connection that ends a body

What callers saw: a part of an answer as a whole one.

Cause: a write that takes the socket's error lets the read after it return the end of the stream. Its failure is noted by its handler, but the handler of the read may come first: a part of a long write that succeeds at once is only posted, the reactor then finds the reset, and the next part fails and is posted behind the reactor's event. A graceful end cannot be told apart at that moment.

Change: at the end of such a body the decision is posted, behind the handler of any write that was carried out before. Weighed: to wait until the pending write ends. That also covers a server that ends its side and resets later, but a server that ends a whole answer and reads a long upload on for a second then looks silent, and its stream is begun elsewhere again (EarlyStreamThatIsWholeIsForwarded failed).

Other readers: the clients of the product's own nodes and of the stores write a request as a whole before they read, and the nodes' client ends no body with its connection.

--- a/drivers/relay/relay_client.cpp
+++ b/drivers/relay/relay_client.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "drivers/relay/idle_limit.h"
+
 namespace GeraniumLever {
 
 namespace {
--- a/drivers/relay/relay_exchange.cpp
+++ b/drivers/relay/relay_exchange.cpp
@@ -1,12 +1,13 @@
 #include "drivers/relay/relay_exchange.h"
 
-#include <charconv>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include "drivers/relay/idle_limit.h"
+
 namespace GeraniumLever {
 
 namespace {
@@ -23,27 +24,8 @@
 constexpr std::size_t MaxEventBytes = 1024 * 1024;
 /** Maximum size of all responses that are discarded before the one to the request. */
 constexpr std::size_t MaxSkippedBytes = 256 * 1024;
-/** Fraction of the stated idle limit that is used, since the upstream starts counting earlier. */
-constexpr double IdleLimitFraction = 0.6;
 constexpr std::string_view EventStreamType = "text/event-stream";
 
-/** Seconds of the "timeout=N" parameter of a Keep-Alive field. */
-std::optional<std::chrono::seconds> parseKeepAliveTimeout(std::string_view field)
-{
-    constexpr std::string_view Name = "timeout=";
-    const std::size_t found = field.find(Name);
-    if (found == std::string_view::npos) {
-        return std::nullopt;
-    }
-    const std::string_view digits = field.substr(found + Name.size());
-    unsigned seconds = 0;
-    const std::from_chars_result parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-    if (parsed.ec != std::errc()) {
-        return std::nullopt;
-    }
-    return std::chrono::seconds(seconds);
-}
-
 BodyFraming framingOf(const ResponseParser &parser)
 {
     if (parser.endsWithConnection()) {
@@ -214,15 +196,17 @@
     if (error) {
         // A body without a stated length ends when the connection is closed, but only if it was closed gracefully.
         const bool endsHere = headParsed_ && !skipResponse_ && parser_->endsWithConnection();
-        if (endsHere && error == boost::asio::error::eof && !connection_->hasWriteFailed()) {
-            complete();
+        if (endsHere && error == boost::asio::error::eof) {
+            // A write that has taken the error of a reset may have been carried out without its handler.
+            readPending_ = true;
+            boost::asio::post(context_, [self = shared_from_this()]() { self->inputEnded(); });
             return;
         }
-        pool_->noteLoss(dispatch_.address);
         if (endsHere) {
-            reject(RelayFailure::Kind::Broken, "the connection that ends the body was reset");
+            rejectResetBody();
             return;
         }
+        pool_->noteLoss(dispatch_.address);
         fail(RelayFailure::Kind::Broken);
         return;
     }
@@ -230,6 +214,18 @@
     parse();
 }
 
+void RelayExchange::inputEnded()
+{
+    if (finished_) {
+        return;
+    }
+    if (connection_->hasWriteFailed()) {
+        rejectResetBody();
+        return;
+    }
+    complete();
+}
+
 void RelayExchange::resetParser()
 {
     parser_.emplace(call_->method == "HEAD");
@@ -427,12 +423,7 @@
     // exchange.
     const bool isReusable = !writing_ && connection_->input().size() == 0;
     if (isReusable && parser_->keepAlive()) {
-        const std::optional<std::chrono::seconds> keepAliveTimeout =
-            parseKeepAliveTimeout(parser_->head()[http::field::keep_alive]);
-        const std::chrono::duration<double> limit = keepAliveTimeout.has_value()
-            ? *keepAliveTimeout * IdleLimitFraction
-            : std::chrono::duration<double>(DefaultIdleLimit);
-        connection_->setIdleLimit(std::chrono::duration_cast<std::chrono::steady_clock::duration>(limit));
+        connection_->setIdleLimit(idleLimitOf(parser_->head()[http::field::keep_alive]));
         pool_->put(std::move(connection_));
         connection_ = nullptr;
     }
@@ -453,6 +444,12 @@
     fail(kind);
 }
 
+void RelayExchange::rejectResetBody()
+{
+    pool_->noteLoss(dispatch_.address);
+    reject(RelayFailure::Kind::Broken, "the connection that ends the body was reset");
+}
+
 bool RelayExchange::abort()
 {
     // A request that is given up must not reach the upstream later, when a broken link is back.
--- a/drivers/relay/relay_exchange.h
+++ b/drivers/relay/relay_exchange.h
@@ -15,8 +15,6 @@
 
 /** Network latency between data centres is milliseconds; an upstream that takes longer to accept is treated as down. */
 constexpr std::chrono::milliseconds UpstreamConnectTimeout(120);
-/** How long a connection may stay idle in the pool if the upstream states no limit. */
-constexpr std::chrono::milliseconds DefaultIdleLimit(1500);
 
 /** Receives the events of an exchange. Each handler may cancel the exchange. */
 class RelayExchangeObserver
@@ -63,6 +61,8 @@
     void sent(const boost::system::error_code &error);
     void read();
     void received(const boost::system::error_code &error, std::size_t bytes);
+    /** The connection that ends the body has ended, and all writes before that have been handled. */
+    void inputEnded();
     void parse();
     void resetParser();
     /** Reports what the upstream states about itself; returns false if the exchange has finished. */
@@ -85,6 +85,8 @@
     void fail(RelayFailure::Kind kind);
     /** Fails because the response cannot be trusted. */
     void reject(RelayFailure::Kind kind, std::string_view reason);
+    /** Fails because the connection that ends the body was reset. */
+    void rejectResetBody();
     /** Both return false if the exchange has finished. */
     bool close();
     bool abort();
--- a/tests/drivers/relay/relay_client_response_test.cpp
+++ b/tests/drivers/relay/relay_client_response_test.cpp
@@ -178,6 +178,30 @@
     EXPECT_EQ(statuses_, std::vector<unsigned>());
 }
 
+// Guards against a part of a body passing as whole because the end of the connection is handled before the failed
+// write.
+TEST_F(RelayResponseTest, BodyWithoutALengthIsNotCompleteWheneverTheUploadIsReset)
+{
+    constexpr int Moments = 60;
+    for (int moment = 0; moment < Moments; ++moment) {
+        for (const bool streamed : { false, true }) {
+            SCOPED_TRACE("moment " + std::to_string(moment));
+            ended_ = 0;
+            failures_.clear();
+            dispatch(streamed, std::string(UploadBytes, 'u'));
+            respond("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n");
+            for (int step = 0; step < moment; ++step) {
+                loop_.context().restart();
+                loop_.context().poll_one();
+            }
+            peer().reset();
+            EXPECT_TRUE(awaitEnd());
+            EXPECT_EQ(ended_, 0);
+            EXPECT_EQ(failures_, std::vector<RelayFailure::Kind> { RelayFailure::Kind::Broken });
+        }
+    }
+}
+
 TEST_F(RelayResponseTest, StreamWithoutALengthIsNotCompleteAfterAResetDuringTheUpload)
 {
     respondToUpload(true, "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n");
