Write a row of stored origins only at its known version

What callers saw: nothing; found as a related path of late writes. A write without an answer may be carried out seconds later and put an earlier row in the place of a later one, or remove it. If nothing changes afterwards, or all relays are lost, streams that the later row named are refused. In the same way the removal of a lost node's row could take away one that was written since.

Cause: writes and removals were unconditional, and removals rode along with writes. Change: a write names the version of the row as it is known, by the answer to the write before or to one that was refused; after a refusal it is made again at once with the version that the store states. Rows of lost nodes are removed in a call of their own, as they were read.

Evidence: RowIsChangedOnlyAtTheVersionThatIsKnown and RowIsRemovedOnlyAsItWasRead fail if the conditions are left out, and pass.

--- a/main/relay/stored_origin_sync.cpp
+++ b/main/relay/stored_origin_sync.cpp
@@ -10,6 +10,9 @@
 
 /** Least time between two reads, so that callers who come back together share one. */
 constexpr std::chrono::milliseconds ReadPeriod(100);
+/** Attempts to write a row whose version is not known. */
+constexpr int FirstAttempt = 1;
+constexpr int MaxAttempts = 3;
 
 } // namespace
 
@@ -34,36 +37,62 @@
     store_.readStoredOrigins([this, asOf](const Result<StoredOrigins> &result) {
         if (succeeded(result)) {
             handler_(valueOf(result), asOf);
-            outdatedRows_ = valueOf(result).outdatedRows();
+            removeOutdated(valueOf(result));
         }
         reader_.finished();
     });
 }
 
+void StoredOriginSync::removeOutdated(const StoredOrigins &stored)
+{
+    const std::vector<std::string> keys = stored.outdatedRows();
+    if (keys.empty()) {
+        return;
+    }
+    store_.removeStoredOrigins(keys, [](const Result<StoreState> &result) {
+        LOG_IF(WARNING, !succeeded(result))
+            << "event=outdated_origins_kept message=\"" << errorOf(result).message << '"';
+    });
+}
+
 void StoredOriginSync::check()
 {
     if (writing_) {
         return;
     }
-    std::optional<StoredOriginRow> row = system_.takeOriginRow(clock_.now());
+    const std::optional<StoredOriginRow> row = system_.takeOriginRow(clock_.now());
     if (row.has_value()) {
-        write(std::move(*row));
+        write(*row, FirstAttempt);
     }
 }
 
-void StoredOriginSync::write(StoredOriginRow row)
+void StoredOriginSync::write(const StoredOriginRow &row, int attempt)
 {
     writing_ = true;
-    store_.writeStoredOrigins(
-        { key_, std::move(row), std::exchange(outdatedRows_, {}) }, [this](const Result<StoreState> &result) {
+    store_.writeStoredOrigins({ key_, row, rowVersion_ }, [this, row, attempt](const Result<RowChange> &result) {
+        if (!succeeded(result)) {
+            fail(errorOf(result).message);
+            return;
+        }
+        const RowChange &change = valueOf(result);
+        rowVersion_ = change.isDone && row.streams.empty() ? 0 : change.version;
+        if (change.isDone) {
             writing_ = false;
-            if (succeeded(result)) {
-                system_.originRowStored();
-                return;
-            }
-            system_.originRowFailed();
-            LOG(WARNING) << "event=origins_not_stored message=\"" << errorOf(result).message << '"';
-        });
+            system_.originRowStored();
+        } else if (attempt < MaxAttempts) {
+            // An earlier write without an answer was carried out.
+            write(row, attempt + 1);
+        } else {
+            fail("the row is written by others");
+        }
+    });
+}
+
+void StoredOriginSync::fail(const std::string &reason)
+{
+    writing_ = false;
+    system_.originRowFailed();
+    LOG(WARNING) << "event=origins_not_stored message=\"" << reason << '"';
 }
 
 } // namespace GeraniumLever
--- a/main/relay/stored_origin_sync.h
+++ b/main/relay/stored_origin_sync.h
@@ -26,14 +26,16 @@
     /** Reads the rows soon. */
     void read() { reader_.request(); }
 
-    /** Writes the node's row if it must be written. To be called a few times a second. */
+    /** Writes the node's row if it must be written. To be called every few tens of milliseconds. */
     void check();
 
     void stop() { reader_.stop(); }
 
 private:
     void startRead();
-    void write(StoredOriginRow row);
+    void removeOutdated(const StoredOrigins &stored);
+    void write(const StoredOriginRow &row, int attempt);
+    void fail(const std::string &reason);
 
     PlatformStore &store_;
     const Clock &clock_;
@@ -41,8 +43,9 @@
     std::string key_;
     ReadHandler handler_;
     PacedReader reader_;
-    /** Rows of lost nodes, to be removed with the next write. */
-    std::vector<std::string> outdatedRows_;
+    /** Version of the node's row as far as it is known; 0 if there is none. Each write names it, so that a call without
+     * an answer that is carried out late cannot take the place of a later one. */
+    std::uint64_t rowVersion_ = 0;
     bool writing_ = false;
 };
 
--- a/servers/relay/stored_origins.h
+++ b/servers/relay/stored_origins.h
@@ -42,7 +42,8 @@
     /** The key of this node's row. */
     std::string key;
     StoredOriginRow row;
-    std::vector<std::string> removals;
+    /** Version that the row in the store must have; 0 if there must be none. */
+    std::uint64_t expectedRow = 0;
 
     auto operator<=>(const StoredOriginUpdate &) const = default;
 };
--- a/servers/routing/store_eras.h
+++ b/servers/routing/store_eras.h
@@ -23,6 +23,16 @@
     bool operator==(const StoreState &other) const { return era == other.era && version == other.version; }
 };
 
+/** Outcome of a call that changes a row only at a certain version. */
+struct RowChange
+{
+    bool isDone = false;
+    /** Of the row now; 0 if there is none. */
+    std::uint64_t version = 0;
+
+    auto operator<=>(const RowChange &) const = default;
+};
+
 /** What a node knows about the store's current era, as told to other nodes. */
 struct StoreEraReport
 {
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -151,62 +151,93 @@
     EXPECT_TRUE(read().empty());
 }
 
-TEST_F(PlatformStoreTest, OriginsAreReadAsTheyWereWritten)
+class StoredOriginTest : public PlatformStoreTest
 {
-    const StreamOrigin first { PoolName("engines"), "v1" };
-    const StreamOrigin second { PoolName("engines"), "" };
-    const auto write = [this](const StoredOriginUpdate &update) {
-        std::optional<bool> isWritten;
-        client_.writeStoredOrigins(update, [&](const Result<StoreState> &result) { isWritten = succeeded(result); });
-        EXPECT_TRUE(loop_.runUntil([&]() { return isWritten.has_value(); }));
-        EXPECT_TRUE(*isWritten);
-    };
-    const auto read = [this]() {
+protected:
+    RowChange write(const StoredOriginUpdate &update)
+    {
+        std::optional<Result<RowChange>> result;
+        client_.writeStoredOrigins(update, [&](const Result<RowChange> &change) { result = change; });
+        EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
+        return valueOf(*result);
+    }
+
+    bool remove(const std::vector<std::string> &keys)
+    {
+        std::optional<bool> isRemoved;
+        client_.removeStoredOrigins(keys, [&](const Result<StoreState> &result) { isRemoved = succeeded(result); });
+        EXPECT_TRUE(loop_.runUntil([&]() { return isRemoved.has_value(); }));
+        return *isRemoved;
+    }
+
+    std::map<std::string, StoredOriginRow> read()
+    {
         std::optional<Result<StoredOrigins>> result;
         client_.readStoredOrigins([&](Result<StoredOrigins> stored) { result = std::move(stored); });
         EXPECT_TRUE(loop_.runUntil([&]() { return result.has_value(); }));
         return valueOf(*result).rows;
-    };
-    const auto rowOf = [&first](std::vector<std::uint64_t> streams) {
+    }
+
+    static StoredOriginRow rowOf(std::vector<std::uint64_t> streams)
+    {
         StoredOriginRow row;
-        row.streams[first] = std::move(streams);
+        row.streams[{ PoolName("engines"), "v1" }] = std::move(streams);
         return row;
-    };
+    }
+};
+
+TEST_F(StoredOriginTest, OriginsAreReadAsTheyWereWritten)
+{
     StoredOriginRow row = rowOf({ 1, 0xFFFFFFFFFFFFFFFF });
-    row.streams[second] = { 0x10 };
+    row.streams[{ PoolName("engines"), "" }] = { 0x10 };
     row.writtenAt = std::chrono::milliseconds(77);
-    write({ "n1/1", row, {} });
-    write({ "n2/2", rowOf({ 5 }), {} });
+    const RowChange first = write({ "n1/1", row, 0 });
+    EXPECT_TRUE(first.isDone);
+    EXPECT_TRUE(write({ "n2/2", rowOf({ 5 }), 0 }).isDone);
     EXPECT_EQ(read().size(), 2U);
     EXPECT_EQ(read().at("n1/1"), row);
-    write({ "n3/3", rowOf({ 6 }), { "n2/2" } });
-    EXPECT_EQ(read().size(), 2U);
-    StoredOriginUpdate removal;
-    removal.key = "n1/1";
-    write(removal);
+    EXPECT_TRUE(remove({ "n2/2" }));
     EXPECT_EQ(read().size(), 1U);
-    EXPECT_EQ(read().count("n3/3"), 1U);
+    EXPECT_TRUE(write({ "n1/1", {}, first.version }).isDone);
+    EXPECT_TRUE(read().empty());
+}
+
+// Guards against a write that is carried out late taking the place of a later one.
+TEST_F(StoredOriginTest, RowIsChangedOnlyAtTheVersionThatIsKnown)
+{
+    const RowChange first = write({ "n1/1", rowOf({ 1 }), 0 });
+    const RowChange second = write({ "n1/1", rowOf({ 2 }), first.version });
+    ASSERT_TRUE(second.isDone);
+    EXPECT_EQ(write({ "n1/1", rowOf({ 1 }), first.version }), (RowChange { false, second.version }));
+    EXPECT_EQ(write({ "n1/1", {}, first.version }), (RowChange { false, second.version })) << "a late removal";
+    EXPECT_EQ(read().at("n1/1"), rowOf({ 2 }));
+    EXPECT_TRUE(write({ "n1/1", {}, second.version }).isDone);
+    EXPECT_EQ(write({ "n1/1", rowOf({ 2 }), second.version }), (RowChange { false, 0 })) << "a write after the removal";
+}
+
+// Guards against the rows of lost nodes being removed after they were written again.
+TEST_F(StoredOriginTest, RowIsRemovedOnlyAsItWasRead)
+{
+    const RowChange first = write({ "n1/1", rowOf({ 1 }), 0 });
+    read();
+    write({ "n1/1", rowOf({ 2 }), first.version });
+    EXPECT_FALSE(remove({ "n1/1" }));
+    EXPECT_EQ(read().at("n1/1"), rowOf({ 2 }));
+    EXPECT_TRUE(remove({ "n1/1" }));
 }
 
 // Guards against a node that reads the origins now and then getting every row that was written in between.
-TEST_F(PlatformStoreTest, OriginsAreReadWithoutTheirEarlierRows)
+TEST_F(StoredOriginTest, OriginsAreReadWithoutTheirEarlierRows)
 {
-    const auto read = [this]() {
-        bool isRead = false;
-        client_.readStoredOrigins([&](const Result<StoredOrigins> &stored) { isRead = succeeded(stored); });
-        EXPECT_TRUE(loop_.runUntil([&]() { return isRead; }));
-    };
     read();
-    StoredOriginRow row;
-    row.streams[{ PoolName("engines"), "v1" }].resize(200);
+    StoredOriginRow row = rowOf(std::vector<std::uint64_t>(200));
     const std::size_t rowSize = encodeStoredOrigins(row).size();
-    PlatformStore other(loop_.context(), store_.address(), std::chrono::milliseconds(200));
+    std::uint64_t version = 0;
     for (std::uint64_t number = 0; number < 100; ++number) {
-        bool isWritten = false;
         row.streams.begin()->second.back() = number;
-        other.writeStoredOrigins({ "n1/1", row, {} },
-                                 [&](const Result<StoreState> &result) { isWritten = succeeded(result); });
-        EXPECT_TRUE(loop_.runUntil([&]() { return isWritten; }));
+        const RowChange change = write({ "n1/1", row, version });
+        ASSERT_TRUE(change.isDone);
+        version = change.version;
     }
     const std::uint64_t before = store_.bytesSent();
     read();
