State in the notes on versions the era of the store in which they hold

Cause: what a note proves after a restoration depends on how old the era is, and only running nodes knew that. They took it for old and stored no origins; nodes that started anew took it for young, and the notes for incomplete. Knowledge of all nodes died with them.

Change: a note names the era in which it is complete since its time. It proves nothing in another one. Some seconds after a restoration, when lost entries are back, a keeper writes the note again, complete since then, and ten minutes later it proves origins, to running nodes and to new ones alike; until then origins are stored, as before. The nodes' own age of the era no longer counts.

The test NotesOfARestoredStoreProveNothingForTenMinutes let no node confirm the note; it now checks that a note which nobody has confirmed proves nothing after eleven minutes, and otherwise the same ten minutes from the confirmation.

--- a/servers/relay/fleet_state.cpp
+++ b/servers/relay/fleet_state.cpp
@@ -27,6 +27,7 @@
     if (storeEras_.note(state, now)) {
         commands.emplace_back(recordStoreEra(storeEras_, now));
     }
+    versionNotes_.updateEra(storeEras_.era(), now);
 }
 
 void FleetState::applyConfiguration(const StoredConfiguration &stored,
@@ -74,20 +75,14 @@
         [this](const PoolName &pool) { return nodes_.rank(self_, XXH64(pool.text().data(), pool.text().size(), 0)); };
 }
 
-std::optional<std::string> FleetState::onlyVersion(const PoolName &pool, TimePoint now) const
+std::optional<std::string> FleetState::onlyVersion(const PoolName &pool) const
 {
-    return mayLackNotes(now) ? std::nullopt : versionNotes_.onlyVersion(pool);
+    return versionNotes_.onlyVersion(pool);
 }
 
 std::set<PoolName> FleetState::ambiguousPools(TimePoint now) const
 {
-    return mayLackNotes(now) ? versionNotes_.pools() : versionNotes_.ambiguousPools(now);
-}
-
-bool FleetState::mayLackNotes(TimePoint now) const
-{
-    // A restored store has lost what was noted last.
-    return storeEras_.era() != 0 && now - storeEras_.since() < MaxTakeUpAge;
+    return versionNotes_.ambiguousPools(now);
 }
 
 bool FleetState::noteNotice(const UpstreamIdentity &upstream, const UpstreamNotice &notice, TimePoint now)
@@ -121,6 +116,7 @@
     if (storeEras_.note(report.storeEra, now)) {
         commands.emplace_back(recordStoreEra(storeEras_, now));
     }
+    versionNotes_.updateEra(storeEras_.era(), now);
     configuration_.confirmLastRead(storeEras_);
     nodes_.completeLastList(storeEras_);
     if (report.sentAfter == TimePoint() || report.sentAfter > now) {
--- a/servers/relay/fleet_state.h
+++ b/servers/relay/fleet_state.h
@@ -40,7 +40,7 @@
 
     /** The version at which all streams of the pool must have begun, by the last read notes; absent if there may be
      *  others. */
-    std::optional<std::string> onlyVersion(const PoolName &pool, TimePoint now) const;
+    std::optional<std::string> onlyVersion(const PoolName &pool) const;
 
     /** Pools of which the notes do not tell at which version a stream began. */
     std::set<PoolName> ambiguousPools(TimePoint now) const;
@@ -82,8 +82,6 @@
 private:
     void noteStoreState(const StoreState &state, TimePoint now, RelayCommands &commands);
     NoteKeeperRank noteKeeperRank() const;
-    /** True if the store may have lost notes on versions at which streams that can be taken up have begun. */
-    bool mayLackNotes(TimePoint now) const;
 
     NodeName self_;
     std::uint64_t incarnation_ = 0;
--- a/servers/relay/stream_locator.cpp
+++ b/servers/relay/stream_locator.cpp
@@ -100,8 +100,8 @@
     const auto isAnswered = [asOf](const Search &search) {
         return search.step == SearchStep::ReadingNotes && search.since <= asOf;
     };
-    const auto versionOf = [this, now](const Search &search) {
-        return search.pool.has_value() ? fleet_.onlyVersion(*search.pool, now) : std::nullopt;
+    const auto versionOf = [this](const Search &search) {
+        return search.pool.has_value() ? fleet_.onlyVersion(*search.pool) : std::nullopt;
     };
     end(
         now,
--- a/servers/routing/version_notes.cpp
+++ b/servers/routing/version_notes.cpp
@@ -43,6 +43,13 @@
     });
 }
 
+void VersionNotes::updateEra(std::uint64_t era, TimePoint now)
+{
+    if (std::exchange(era_, era) != era) {
+        compare(now);
+    }
+}
+
 void VersionNotes::updateRoutes(const RouteTable &table, TimePoint now)
 {
     std::map<PoolName, std::uint64_t> digests;
@@ -101,7 +108,7 @@
                 return note == nullptr || !servesVersion(*note, version);
             });
         const bool isOutdated = note != nullptr && hasUpstreams_
-            && (note->routes != pool.routes
+            && (note->era != era_ || note->routes != pool.routes
                 || std::any_of(note->versions.begin(), note->versions.end(), [&pool = pool](const NotedVersion &noted) {
                        return !noted.goneAt.has_value() && pool.versions.count(noted.version) == 0;
                    }));
@@ -148,6 +155,7 @@
         } else {
             const bool isFirst = isFirstStart_ && stored_->state.era == 0;
             noted.since = isFirst ? Duration(0) : storeNow;
+            noted.era = stored_->state.era;
             noted.routes = pool.routes;
             noted.routesSince = noted.since;
         }
@@ -161,6 +169,11 @@
 PoolNote VersionNotes::correctedNote(const Pool &pool, const PoolNote &noted, bool dropGone, Duration storeNow) const
 {
     PoolNote note = noted;
+    // Entries that the store has lost are back by the time at which outdated notes are corrected.
+    if (dropGone && note.era != stored_->state.era) {
+        note.era = stored_->state.era;
+        note.since = storeNow;
+    }
     if (note.routes != pool.routes) {
         note.routes = pool.routes;
         note.routesSince = storeNow;
@@ -206,7 +219,7 @@
 {
     const PoolNote *note = find(pool);
     const auto seen = pools_.find(pool);
-    if (note == nullptr || seen == pools_.end()) {
+    if (note == nullptr || seen == pools_.end() || note->era != era_) {
         return std::nullopt;
     }
     const bool routesMayDiffer = note->routes != seen->second.routes || mayBeTakenUp(note->routesSince, storeNow);
--- a/servers/routing/version_notes.h
+++ b/servers/routing/version_notes.h
@@ -37,6 +37,8 @@
     /** Digest of the routes whose resumable streams go to the pool. */
     std::uint64_t routes = 0;
     Duration routesSince { 0 };
+    /** Era of the store in which since holds. A store that is restored from a copy has lost what was noted last. */
+    std::uint64_t era = 0;
 
     auto operator<=>(const PoolNote &) const = default;
 };
@@ -78,6 +80,8 @@
     /** isFirstStart: no node has run before this one and those that start together with it. */
     explicit VersionNotes(bool isFirstStart) : isFirstStart_(isFirstStart) { }
 
+    /** Takes note of the store's era. */
+    void updateEra(std::uint64_t era, TimePoint now);
     /** Takes note of the routes in force. */
     void updateRoutes(const RouteTable &table, TimePoint now);
     /** Takes note of the upstreams in the newest list. */
@@ -129,6 +133,7 @@
     PoolNote correctedNote(const Pool &pool, const PoolNote &noted, bool dropGone, Duration storeNow) const;
 
     bool isFirstStart_ = false;
+    std::uint64_t era_ = 0;
     bool hasUpstreams_ = false;
     std::map<PoolName, Pool> pools_;
     /** Versions of all pools, including those without resumable streams. */
--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -79,7 +79,8 @@
     const PoolNote second { { { "v1", std::chrono::milliseconds(123456) }, { "", std::nullopt } },
                             std::chrono::milliseconds(5),
                             7,
-                            std::chrono::milliseconds(6) };
+                            std::chrono::milliseconds(6),
+                            3 };
     EXPECT_TRUE(readNotes().pools.empty());
     EXPECT_TRUE(writeNote({ pool, first, 0 }));
     EXPECT_FALSE(writeNote({ pool, second, 0 }));
--- a/tests/servers/relay/fleet_loss_test.cpp
+++ b/tests/servers/relay/fleet_loss_test.cpp
@@ -104,6 +104,39 @@
     });
 }
 
+// Guards against nodes that start anew taking an old era of the store for a young one, in which the notes prove
+// nothing.
+TEST_F(FleetLossTest, StreamsGoOnAfterTheLossOfAllNodesLongAfterTheStoreWasRestored)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    versionTable_.restore();
+    pass(std::chrono::minutes(11));
+    const int writes = originWrites_;
+    beginStreams();
+    pass(seconds(1));
+    EXPECT_EQ(originWrites_, writes) << "the notes are enough";
+    killAll();
+    pass(Outage);
+    startNodes(9);
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 9);
+}
+
+// Guards against trusting a note of which the store may have lost the newest version.
+TEST_F(FleetLossTest, NodesThatStartAnewTrustNoNoteOfAnEarlierEra)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    beginStreams();
+    killAll();
+    versionTable_.restore();
+    pass(Outage);
+    startNodes(9);
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 0);
+}
+
 // Guards against losing streams because the notes do not tell which pool a changed route went to when they began.
 TEST_F(FleetLossTest, StreamsGoOnAtTheOnlyNodeThatIsLeftAfterTheRoutesWereChanged)
 {
--- a/tests/servers/relay/stream_resumption_test.cpp
+++ b/tests/servers/relay/stream_resumption_test.cpp
@@ -286,12 +286,16 @@
     listFor(1);
     versionTable_.restore();
     EXPECT_EQ(refusals(takeUpUnknown("lost")).size(), 1U);
-    advance(minutes(9));
+    advance(minutes(11));
     readNotes();
-    EXPECT_EQ(system_.fleet().onlyVersion(PoolName("engines"), clock_.now()), std::nullopt);
-    advance(minutes(2));
+    EXPECT_EQ(system_.fleet().onlyVersion(PoolName("engines")), std::nullopt) << "no node has confirmed the note";
+    listFor(9 * 60);
+    readNotes();
+    EXPECT_EQ(system_.fleet().onlyVersion(PoolName("engines")), std::nullopt);
+    // Another node than this one should have confirmed it at once.
+    listFor(6 * 60);
     readNotes();
-    EXPECT_EQ(system_.fleet().onlyVersion(PoolName("engines"), clock_.now()), "v1");
+    EXPECT_EQ(system_.fleet().onlyVersion(PoolName("engines")), "v1");
 }
 
 TEST_F(StreamResumptionTest, StreamsBeginAtANewVersionOnlyOnceItIsNoted)
