Keep own streams in the row until the collector has stored them

What callers would have seen: streams refused after the loss of all relays though their node had stored them, while the collector does not reach the store.

Cause: a node that stores its own streams took its row's confirmation for the collector's. The next row, half a second later, was written without them until the collector was late again. Change: own streams stay in the row until the collector has stored a report that contains all of the row's streams. The list of reports that are not known to be stored is bounded. Evidence: StreamsThatANodeHasStoredItselfStayStoredWhileTheCollectorHasNoStore failed before (0 of 6 go on) and passes; relay_test 249 passed.

--- a/servers/relay/origin_keeper.cpp
+++ b/servers/relay/origin_keeper.cpp
@@ -27,6 +27,8 @@
 constexpr Duration PoolCheckPeriod = std::chrono::milliseconds(250);
 /** Time after a report after which a node stores streams itself that the collector has not stored. */
 constexpr Duration CollectorTimeout = std::chrono::milliseconds(600);
+/** Bounds the memory of a node that reaches no collector for long. */
+constexpr std::size_t MaxUnstored = 64;
 
 } // namespace
 
@@ -119,7 +121,7 @@
     ++sequence_;
     if (isEmpty) {
         unstored_.clear();
-    } else if (isUrgent) {
+    } else if (isUrgent && unstored_.size() < MaxUnstored) {
         unstored_.emplace(sequence_, now);
     }
     commands.emplace_back(OutgoingStreamMessage { collector.address, std::move(report) });
@@ -139,11 +141,11 @@
     }
 }
 
-bool OriginKeeper::storesOwnStreams(TimePoint now) const
+bool OriginKeeper::isCollectorLate(TimePoint now) const
 {
-    const bool isLate =
+    const bool isReportLate =
         unreported_.addedAt.has_value() && now - *unreported_.addedAt >= reportPeriod() + CollectorTimeout;
-    return isCollector_ || isLate || (!unstored_.empty() && now - unstored_.begin()->second >= CollectorTimeout);
+    return isReportLate || (!unstored_.empty() && now - unstored_.begin()->second >= CollectorTimeout);
 }
 
 Duration OriginKeeper::reportPeriod() const
@@ -171,26 +173,26 @@
         storedStreams_.reset();
         unwritten_.noteAdded(now);
     }
-    const bool storesOwn = storesOwnStreams(now);
-    if (storesOwn && !hasTakenOwn_) {
+    if (!keepsOwn_ && (isCollector_ || isCollectorLate(now))) {
+        keepsOwn_ = true;
         unwritten_.noteAdded(now);
     }
-    const bool isEmpty = !storesOwn && collector_.empty() && storedStreams_ == OriginStreams();
+    const bool isEmpty = !keepsOwn_ && collector_.empty() && storedStreams_ == OriginStreams();
     const std::optional<Duration> storeNow = fleet_.versionNotes().storeTime(now);
     if (isEmpty || !storeNow.has_value() || !unwritten_.isDue(takenAt_, rowPeriod(), now)) {
         return std::nullopt;
     }
     takenAt_ = now;
     unwritten_ = {};
-    hasTakenOwn_ = storesOwn;
-    takenSequence_ = sequence_;
     if (isCollector_) {
         // If another node becomes the collector, it has to get all streams.
         unreported_ = { std::nullopt, true };
     }
+    containedReport_ = keepsOwn_ ? sequence_ : 0;
+    coveringReport_ = sequence_ + (unreported_.isPending ? 1 : 0);
     StoredOriginRow row;
     row.writtenAt = *storeNow;
-    if (storesOwn) {
+    if (keepsOwn_) {
         row.streams = own_.streamsOf(pools_);
     }
     collector_.takeStreams(row.streams);
@@ -206,9 +208,7 @@
 {
     hasFailed_ = false;
     collector_.noteStored();
-    if (hasTakenOwn_) {
-        unstored_.erase(unstored_.begin(), unstored_.upper_bound(takenSequence_));
-    }
+    unstored_.erase(unstored_.begin(), unstored_.upper_bound(containedReport_));
 }
 
 void OriginKeeper::noteFailed()
@@ -221,7 +221,10 @@
 void OriginKeeper::noteReportStored(std::uint64_t sequence)
 {
     unstored_.erase(unstored_.begin(), unstored_.upper_bound(sequence));
-    unwritten_.isPending = true;
+    if (keepsOwn_ && !isCollector_ && sequence >= std::max<std::uint64_t>(coveringReport_, 1)) {
+        keepsOwn_ = false;
+        unwritten_.isPending = true;
+    }
 }
 
 } // namespace GeraniumLever
--- a/servers/relay/origin_keeper.h
+++ b/servers/relay/origin_keeper.h
@@ -76,7 +76,7 @@
     };
 
     /** True if the node's own streams have not been stored by the collector in time. */
-    bool storesOwnStreams(TimePoint now) const;
+    bool isCollectorLate(TimePoint now) const;
     /** Least time between two reports. */
     Duration reportPeriod() const;
     /** Least time between two rows. */
@@ -116,9 +116,12 @@
     std::optional<OriginStreams> storedStreams_ = OriginStreams();
     /** The store's era in which the row was written. */
     std::uint64_t era_ = 0;
-    /** True if the row that was taken last contains the own streams, as of the report with that sequence. */
-    bool hasTakenOwn_ = false;
-    std::uint64_t takenSequence_ = 0;
+    /** True while the row must contain the own streams since the collector may lack them. */
+    bool keepsOwn_ = false;
+    /** The last of the reports whose streams the row that was taken last contains, and the first that contains all
+     *  streams of the row. */
+    std::uint64_t containedReport_ = 0;
+    std::uint64_t coveringReport_ = 0;
     bool hasFailed_ = false;
 };
 
--- a/tests/servers/relay/fleet_loss_test.cpp
+++ b/tests/servers/relay/fleet_loss_test.cpp
@@ -228,6 +228,31 @@
     EXPECT_EQ(takeUpBegunStreams("node-0"), 6) << "all but those of the collectors";
 }
 
+// Guards against a node dropping the streams that it has stored itself before the collector has stored them.
+TEST_F(FleetLossTest, StreamsThatANodeHasStoredItselfStayStoredWhileTheCollectorHasNoStore)
+{
+    reset();
+    startNodes(9);
+    pass(seconds(5));
+    serveNewVersion();
+    for (const auto &[address, node] : nodes_) {
+        if (node->workCollector(clock_.now())->address == address) {
+            storeless_.insert(address);
+        }
+    }
+    beginStreams();
+    pass(milliseconds(1500));
+    const std::map<std::string, std::string> begun = versions_;
+    beginStreams("later ");
+    pass(milliseconds(200));
+    storeless_.clear();
+    killAll();
+    pass(Outage);
+    startNodes(9);
+    versions_ = begun;
+    EXPECT_EQ(takeUpBegunStreams("node-0"), 6) << "all but those of the collectors";
+}
+
 // Guards against losing streams of a route that goes to several pools, of which the notes do not tell the stream's.
 TEST_F(FleetLossTest, StreamsOfASplitRouteGoOnAtTheOnlyNodeThatIsLeft)
 {
