Let only nodes that had a part in quarantine remove it from the store

A node that once had an answer to a part, and hears nothing of the later crashes from its peers, removed the verdict of the others from the store each second, for a minute; if these are lost meanwhile, the part is forgotten.

Cause: a part that is not quarantined, with a remembered answer, counted as released, whenever the answer was. Change: a node removes a row only if it had the part in quarantine itself and has released it.

--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -324,7 +324,7 @@
         }
         if (suspect.quarantined) {
             update.added.emplace(part, suspect.crashCount());
-        } else {
+        } else if (suspect.released) {
             update.removed.push_back(part);
         }
     }
@@ -457,11 +457,19 @@
     suspect.storedCrashes = 0;
     suspect.trialAt.reset();
     suspect.trials = 0;
-    if (std::exchange(suspect.quarantined, false)) {
-        noteQuarantineChanged(part, suspect);
+    if (suspect.quarantined) {
+        release(part, suspect);
     }
 }
 
+void PromptQuarantine::release(std::uint64_t part, Suspect &suspect)
+{
+    suspect.quarantined = false;
+    suspect.released = true;
+    suspect.trialAt.reset();
+    noteQuarantineChanged(part, suspect);
+}
+
 void PromptQuarantine::noteChanged(Suspect &suspect, TimePoint now)
 {
     suspect.changedAt = now;
@@ -517,6 +525,7 @@
 void PromptQuarantine::quarantine(std::uint64_t part, Suspect &suspect, TimePoint now)
 {
     suspect.quarantined = true;
+    suspect.released = false;
     suspect.exoneratedAt.reset();
     suspect.changedAt = now;
     suspect.blockedUntil = now;
@@ -545,11 +554,9 @@
     if (suspect.isRequest || !suspect.quarantined || !suspect.isExplained()) {
         return;
     }
-    suspect.quarantined = false;
-    suspect.trialAt.reset();
     suspect.exoneratedAt = now;
     suspect.changedAt = now;
-    noteQuarantineChanged(part, suspect);
+    release(part, suspect);
 }
 
 void PromptQuarantine::noteQuarantineChanged(std::uint64_t part, const Suspect &suspect)
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -149,6 +149,8 @@
         /** True once peers have been told. */
         bool shared = false;
         bool quarantined = false;
+        /** True if it was quarantined here and is no longer. */
+        bool released = false;
         /** How often the store's list has differed in a row. */
         std::size_t storeDifferences = 0;
 
@@ -190,6 +192,7 @@
     void quarantine(std::uint64_t part, Suspect &suspect, TimePoint now);
     /** Lets the crashes that the quarantined suspect accounts for speak less against the parts. */
     void exonerateOthers(std::uint64_t culprit, const Suspect &culpritSuspect, TimePoint now);
+    void release(std::uint64_t part, Suspect &suspect);
     void releaseIfExplained(std::uint64_t part, Suspect &suspect, TimePoint now);
     void noteQuarantineChanged(std::uint64_t part, const Suspect &suspect);
     void postponeTrial(Suspect &suspect, TimePoint from);
--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -301,6 +301,23 @@
     EXPECT_EQ(started.blockedFor(crashing(), clock_.now()), Duration(0)) << "a released part is not adopted again";
 }
 
+// Guards against a node that once had an answer to a part removing the verdict that others have reached since.
+TEST_F(PromptQuarantineTest, OnlyNodesThatHadAPartInQuarantineRemoveItFromTheStore)
+{
+    const auto first = [](std::uint64_t) { return std::size_t(0); };
+    PromptQuarantine other(2);
+    other.noteAnswered(crashing(), clock_.now());
+    crash({ crashing() }, other);
+    other.noteAnswered(crashing(), clock_.now());
+    clock_.advance(seconds(10));
+    crashTimes(3, crashing());
+    const StoredQuarantine stored { quarantine_.reconcile({}, first, clock_.now()).added, {} };
+    ASSERT_EQ(stored.crashes.count(CrashingPart), 1U);
+    EXPECT_TRUE(other.reconcile(stored, first, clock_.now()).empty());
+    quarantine_.noteAnswered(crashing(), clock_.now());
+    EXPECT_EQ(quarantine_.reconcile(stored, first, clock_.now()).removed, std::vector<std::uint64_t> { CrashingPart });
+}
+
 TEST_F(PromptQuarantineTest, TrialsStayRareThoughAllNodesHaveStartedAgain)
 {
     const auto first = [](std::uint64_t) { return std::size_t(0); };
