Give the suspects of the quarantine a file of their own

Change: CrashSuspect holds what is known of a part or request: what it takes to quarantine it, when it is tried again and forgotten, and its report. No decision changes.

--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -9,23 +9,6 @@
 
 namespace {
 
-/** Number of separate crashes from which a part is quarantined. A sound part would have to be at this many crashing
- *  upstreams in a row without being answered anywhere in between. */
-constexpr std::uint32_t MinCauses = 3;
-/** The same for a part that had been answered before, which an upstream's new software may have come to crash under. */
-constexpr std::uint32_t MinCausesAfterAnswers = 6;
-/** Number of quarantined requests that have only the part in common. */
-constexpr std::uint32_t MinCulprits = 2;
-/** With at most this many crashes the first trial comes early, since the judgement may be a mistake. */
-constexpr std::uint32_t EarlyCrashes = 4;
-constexpr Duration EarlyTrialDelay = std::chrono::seconds(10);
-constexpr Duration TrialDelay = std::chrono::seconds(60);
-constexpr Duration MaxTrialDelay = std::chrono::hours(1);
-constexpr std::uint32_t MaxDoublings = 6;
-/** Time after which a suspect that is not quarantined is forgotten. */
-constexpr Duration SuspicionLifetime = std::chrono::minutes(10);
-/** How long it is remembered that a part was cleared, so that older reports do not accuse it again. */
-constexpr Duration ClearedLifetime = std::chrono::minutes(1);
 /** Most sound parts are cleared within this time after a crash, so peers need not be told. */
 constexpr Duration FirstNewsDelay = std::chrono::milliseconds(200);
 constexpr Duration NewsPeriod = std::chrono::milliseconds(100);
@@ -42,19 +25,6 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
-/** Delays of the first trials of a request. The first may find it sound. */
-constexpr Duration RequestTrialDelays[] = {
-    std::chrono::seconds(1),
-    std::chrono::seconds(10),
-    std::chrono::minutes(5),
-    std::chrono::hours(1),
-};
-
-std::size_t sharedParts(const PromptInfo &prompt)
-{
-    return prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
-}
-
 bool isFingerprint(std::uint64_t suspect)
 {
     return (suspect & RequestFingerprintBit) != 0;
@@ -65,7 +35,7 @@
 template<typename Visit>
 void PromptQuarantine::forEachSuspect(const PromptInfo &prompt, Visit visit)
 {
-    const std::size_t shared = sharedParts(prompt);
+    const std::size_t shared = prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
     for (std::size_t index = 0; index < shared; ++index) {
         visit(prompt.parts[index].id, static_cast<std::uint32_t>(index));
     }
@@ -74,34 +44,6 @@
     }
 }
 
-std::uint32_t PromptQuarantine::Suspect::crashCount() const
-{
-    return storedCrashes + static_cast<std::uint32_t>(evidence.size());
-}
-
-std::uint32_t PromptQuarantine::Suspect::neededCauses() const
-{
-    // A part that is in most requests is in those of many crashes, too, but hardly in several that crash upstreams with
-    // no answer in between.
-    if (evidence.culprits() >= MinCulprits) {
-        return hadAnswers ? MinCauses : MinCulprits;
-    }
-    return hadAnswers ? MinCausesAfterAnswers : MinCauses;
-}
-
-bool PromptQuarantine::Suspect::isExplained() const
-{
-    return storedCrashes == 0 && !evidence.hasUnattributed() && evidence.culprits() < MinCulprits;
-}
-
-void PromptQuarantine::noteCrash(const UpstreamIdentity &upstream,
-                                 const PromptInfo &prompt,
-                                 TimePoint sentAt,
-                                 TimePoint now)
-{
-    noteCrash(upstream, prompt, sentAt, now, now);
-}
-
 void PromptQuarantine::noteCrash(
     const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint sentAt, TimePoint endedAt, TimePoint now)
 {
@@ -349,11 +291,7 @@
 void PromptQuarantine::expire(TimePoint now)
 {
     crashLog_.expire(now);
-    std::erase_if(suspects_, [now](const auto &entry) {
-        const Suspect &suspect = entry.second;
-        const Duration lifetime = suspect.isAccused() ? SuspicionLifetime : ClearedLifetime;
-        return !suspect.quarantined && now - suspect.changedAt > lifetime;
-    });
+    std::erase_if(suspects_, [now](const auto &entry) { return entry.second.hasExpired(now); });
 }
 
 std::size_t PromptQuarantine::size() const
@@ -370,26 +308,11 @@
 
 void PromptQuarantine::addReport(std::uint64_t part, TimePoint now, std::vector<SuspectReport> &reports) const
 {
-    const Suspect &suspect = suspects_.at(part);
     std::size_t room = MaxReportedCrashes;
     for (const SuspectReport &other : reports) {
         room -= other.crashes.size();
     }
-    SuspectReport report;
-    report.part = part;
-    report.depth = suspect.depth;
-    report.hadAnswers = suspect.hadAnswers;
-    for (const std::uint64_t upstream : suspect.evidence.mostTelling(room)) {
-        const UpstreamCrash &crash = suspect.evidence.crashes().at(upstream);
-        report.crashes.push_back({ upstream, now - crash.at, now - crash.sentAt, crash.culprit });
-    }
-    if (suspect.clearedAt.has_value()) {
-        report.clearedAge = now - *suspect.clearedAt;
-    }
-    if (suspect.trialAt.has_value()) {
-        report.trialAge = now - *suspect.trialAt;
-    }
-    reports.push_back(std::move(report));
+    reports.push_back(suspects_.at(part).report(part, room, now));
 }
 
 PromptQuarantine::Suspect &PromptQuarantine::suspectOf(std::uint64_t part, TimePoint now)
@@ -567,16 +490,8 @@
 
 void PromptQuarantine::postponeTrial(Suspect &suspect, TimePoint from)
 {
-    const std::uint32_t crashes = suspect.crashCount();
-    Duration delay = EarlyTrialDelay;
-    if (suspect.isRequest) {
-        delay = RequestTrialDelays[std::min<std::size_t>(suspect.trials, std::size(RequestTrialDelays) - 1)];
-    } else if (crashes > EarlyCrashes) {
-        delay = std::min(MaxTrialDelay,
-                         TrialDelay * (1 << std::min<std::uint32_t>(crashes - EarlyCrashes - 1, MaxDoublings)));
-    }
     // Spread over all nodes, so that one of them makes the trial and the others hear of it before their own.
-    const std::chrono::duration<double, Duration::period> spread = delay * (1.0 + random_.fraction());
+    const std::chrono::duration<double, Duration::period> spread = suspect.trialDelay() * (1.0 + random_.fraction());
     suspect.blockedUntil = std::max(suspect.blockedUntil, from + std::chrono::duration_cast<Duration>(spread));
 }
 
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -7,8 +7,7 @@
 #include <vector>
 
 #include "servers/relay/answered_parts.h"
-#include "servers/relay/crash_evidence.h"
-#include "servers/relay/crash_reports.h"
+#include "servers/relay/crash_suspect.h"
 #include "servers/relay/relay_messages.h"
 #include "servers/routing/routing.h"
 
@@ -66,7 +65,10 @@
 
     /** The upstream ended the connection on which it had this request, sent at sentAt, before the answer was complete.
      */
-    void noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint sentAt, TimePoint now);
+    void noteCrash(const UpstreamIdentity &upstream, const PromptInfo &prompt, TimePoint sentAt, TimePoint now)
+    {
+        noteCrash(upstream, prompt, sentAt, now, now);
+    }
 
     /** The same for an answer that ended some time ago like a complete one. */
     void noteCrash(
@@ -125,42 +127,7 @@
     static constexpr std::size_t MaxReportedCrashes = 48;
 
 private:
-    struct Suspect
-    {
-        /** True for a request, false for a prompt part. */
-        bool isRequest = false;
-        std::uint32_t depth = 0;
-        bool hadAnswers = false;
-        CrashEvidence evidence;
-        /** Number of further crashes that the store knows of. */
-        std::uint32_t storedCrashes = 0;
-        std::optional<TimePoint> clearedAt;
-        /** When its quarantine ended because one request accounted for all crashes. */
-        std::optional<TimePoint> exoneratedAt;
-        std::optional<TimePoint> trialAt;
-        /** Number of trials that are known of. */
-        std::uint32_t trials = 0;
-        /** Until then no request may be sent as a trial. */
-        TimePoint blockedUntil;
-        /** When something was last learnt. */
-        TimePoint changedAt;
-        /** When peers are to be told; absent if there is nothing to tell. */
-        std::optional<TimePoint> newsAt;
-        /** True once peers have been told. */
-        bool shared = false;
-        bool quarantined = false;
-        /** True if it was quarantined here and is no longer. */
-        bool released = false;
-        /** How often the store's list has differed in a row. */
-        std::size_t storeDifferences = 0;
-
-        std::uint32_t crashCount() const;
-        /** Number of causes from which it is quarantined. */
-        std::uint32_t neededCauses() const;
-        /** True if one request accounts for all crashes. */
-        bool isExplained() const;
-        bool isAccused() const { return quarantined || crashCount() != 0; }
-    };
+    using Suspect = CrashSuspect;
     using Suspects = std::map<std::uint64_t, Suspect>;
 
     /** True if the store's list says the same about the part as this node. */
