Check again that a removal leaves other nodes' origins

Cause: the test of stored origins, rewritten for rows at known versions, no longer wrote a third row. Change: it writes it again, and checks that it stays.

--- a/tests/platform/platform_store_test.cpp
+++ b/tests/platform/platform_store_test.cpp
@@ -197,10 +197,12 @@
     EXPECT_TRUE(write({ "n2/2", rowOf({ 5 }), 0 }).isDone);
     EXPECT_EQ(read().size(), 2U);
     EXPECT_EQ(read().at("n1/1"), row);
+    EXPECT_TRUE(write({ "n3/3", rowOf({ 6 }), 0 }).isDone);
     EXPECT_TRUE(remove({ "n2/2" }));
-    EXPECT_EQ(read().size(), 1U);
+    EXPECT_EQ(read().size(), 2U);
     EXPECT_TRUE(write({ "n1/1", {}, first.version }).isDone);
-    EXPECT_TRUE(read().empty());
+    EXPECT_EQ(read().size(), 1U);
+    EXPECT_EQ(read().count("n3/3"), 1U);
 }
 
 // Guards against a write that is carried out late taking the place of a later one.
