--- a/tests/servers/relay/prompt_quarantine_test.cpp
+++ b/tests/servers/relay/prompt_quarantine_test.cpp
@@ -1,5 +1,7 @@
 #include "servers/relay/prompt_quarantine.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "servers/relay/peer_view.h"
@@ -161,10 +163,8 @@
 // Guards against connections that a server ends after its entry was removed counting as its crash.
 TEST_F(PromptQuarantineTest, UpstreamsThatHadLeftTheRegistryBeforeTheyEndedBlameNoPart)
 {
-    std::vector<UpstreamIdentity> upstreams;
-    for (int number = 0; number < 5; ++number) {
-        upstreams.push_back(nextUpstream());
-    }
+    std::vector<UpstreamIdentity> upstreams(5);
+    std::generate(upstreams.begin(), upstreams.end(), [this]() { return nextUpstream(); });
     endLater(upstreams);
     clock_.advance(seconds(1));
     for (const UpstreamIdentity &upstream : upstreams) {
@@ -176,10 +176,10 @@
 // Guards against the loss of all upstreams at once barring each kind of request that no upstream has answered yet.
 TEST_F(PromptQuarantineTest, PartsThatNoRequestHasTogetherAreNotBlamedForOneMoment)
 {
-    std::vector<UpstreamIdentity> upstreams;
-    for (int number = 0; number < 9; ++number) {
-        upstreams.push_back(crash({ promptOf({ 100, ++lastOwn_ }), promptOf({ 200, ++lastOwn_ }) }, quarantine_));
-    }
+    std::vector<UpstreamIdentity> upstreams(9);
+    std::generate(upstreams.begin(), upstreams.end(), [this]() {
+        return crash({ promptOf({ 100, ++lastOwn_ }), promptOf({ 200, ++lastOwn_ }) }, quarantine_);
+    });
     endLater(upstreams);
     EXPECT_FALSE(isBlocked(promptOf({ 100, ++lastOwn_ })));
     EXPECT_FALSE(isBlocked(promptOf({ 200, ++lastOwn_ })));
