Judge suspects once each when many are accused at the same moment

What callers would have seen: nothing but a stall. Cause: the order of suspects was worked out anew for each comparison, and looked for a rival of each. Change: each suspect is looked at once, and a rival is only looked for if crashes of one moment would count one by one.

--- a/servers/relay/prompt_quarantine.cpp
+++ b/servers/relay/prompt_quarantine.cpp
@@ -62,7 +62,7 @@
             accused.push_back(id);
         }
     });
-    judge(std::move(accused), now);
+    judge(accused, now);
 }
 
 void PromptQuarantine::noteEnded(const UpstreamIdentity &upstream, TimePoint now)
@@ -75,7 +75,7 @@
             accused.push_back(id);
         }
     }
-    judge(std::move(accused), now);
+    judge(accused, now);
 }
 
 void PromptQuarantine::noteAnswered(const PromptInfo &prompt, TimePoint now)
@@ -134,7 +134,7 @@
             noteChanged(suspect, now);
         }
     }
-    judge(std::move(accused), now);
+    judge(accused, now);
 }
 
 bool PromptQuarantine::accuses(const PromptInfo &prompt) const
@@ -408,9 +408,10 @@
     if (suspect.isRequest) {
         return evidence.successiveCrashes();
     }
+    const std::uint32_t episodes = evidence.episodes();
+    const std::uint32_t separate = suspect.hadAnswers ? episodes : evidence.separateCrashes(crashLog_);
     // A part that is in most requests is in those of all upstreams that lose power together.
-    const bool isCommon = suspect.hadAnswers || hasRival(part);
-    return (isCommon ? evidence.episodes() : evidence.separateCrashes(crashLog_)) + evidence.culprits();
+    return (separate > episodes && hasRival(part) ? episodes : separate) + evidence.culprits();
 }
 
 bool PromptQuarantine::hasRival(std::uint64_t part) const
@@ -423,21 +424,21 @@
     });
 }
 
-void PromptQuarantine::judge(std::vector<std::uint64_t> parts, TimePoint now)
+void PromptQuarantine::judge(const std::vector<std::uint64_t> &parts, TimePoint now)
 {
     for (const std::uint64_t part : parts) {
         if (suspects_.at(part).quarantined) {
             exonerateOthers(part, suspects_.at(part), now);
         }
     }
-    std::sort(parts.begin(), parts.end(), [this](std::uint64_t left, std::uint64_t right) {
-        const auto order = [this](std::uint64_t part) {
-            const Suspect &suspect = suspects_.at(part);
-            return std::tuple(!suspect.hadAnswers, causesOf(part), suspect.depth, part);
-        };
-        return order(left) > order(right);
-    });
+    std::vector<std::tuple<bool, std::uint32_t, std::uint32_t, std::uint64_t>> order;
+    order.reserve(parts.size());
     for (const std::uint64_t part : parts) {
+        const Suspect &suspect = suspects_.at(part);
+        order.emplace_back(!suspect.hadAnswers, causesOf(part), suspect.depth, part);
+    }
+    std::sort(order.begin(), order.end(), std::greater<>());
+    for (const auto &[isNew, causes, depth, part] : order) {
         Suspect &suspect = suspects_.at(part);
         if (!suspect.quarantined && causesOf(part) >= suspect.neededCauses()) {
             quarantine(part, suspect, now);
--- a/servers/relay/prompt_quarantine.h
+++ b/servers/relay/prompt_quarantine.h
@@ -155,7 +155,7 @@
     /** True if the same crashes speak against another part that no request has together with this one. */
     bool hasRival(std::uint64_t part) const;
     /** Quarantines those of the parts that now account for enough crashes. */
-    void judge(std::vector<std::uint64_t> parts, TimePoint now);
+    void judge(const std::vector<std::uint64_t> &parts, TimePoint now);
     void quarantine(std::uint64_t part, Suspect &suspect, TimePoint now);
     /** Lets the crashes that the quarantined suspect accounts for speak less against the parts. */
     void exonerateOthers(std::uint64_t culprit, const Suspect &culpritSuspect, TimePoint now);
