Tests: keep the settings of relay processes in memory

No relay had got these calls.

Cause: the test, not the relays. The kind of change that reloads settings writes up to six files for each of four relays, on the event loop that also runs the callers, the servers and the store. In that run the kind made 60 calls where it makes 250 without load, and each failed call belongs to it or to what was under way beside it. On ext4, twelve such files take 1.8 ms; beside three programs that write and sync 100 MiB each, 0.68 s (median of 15 s; 1.28 s at most). So the callers sent the rests of requests after the limit for them, used connections that relays had closed as idle in the meantime, and saw the end only when the write returned. Beside these three programs the test failed in 1 of 3 runs, with 408 for six requests and 90 calls in that kind.

Settings are now files in memory, which no disk holds up. The settings are still kept in the folder of the output if a test fails.

--- a/tests/system/relay_process_fixture.cpp
+++ b/tests/system/relay_process_fixture.cpp
@@ -22,11 +22,15 @@
 
 RelayProcessFixture::~RelayProcessFixture()
 {
-    processes_.clear();
     if (HasFailure()) {
+        for (const RelayProcess &process : processes_) {
+            std::ofstream(folder_ + "/settings-" + process.node) << readFile(process.settings->path());
+        }
+        processes_.clear();
         std::cout << "settings and output of the processes: " << folder_ << '\n';
         return;
     }
+    processes_.clear();
     std::filesystem::remove_all(folder_);
 }
 
@@ -42,7 +46,7 @@
 
 void RelayProcessFixture::writeSettings(const RelayProcess &process, const std::string &text)
 {
-    std::ofstream(process.settingsPath) << text;
+    process.settings->write(text);
 }
 
 void RelayProcessFixture::startProcess(RelayProcess &process)
@@ -54,7 +58,8 @@
 void RelayProcessFixture::launch(RelayProcess &process)
 {
     process.child = std::make_unique<ChildProcess>(
-        std::vector<std::string> { GERANIUM_LEVER, "--relay", "--settings", process.settingsPath }, process.outputPath);
+        std::vector<std::string> { GERANIUM_LEVER, "--relay", "--settings", process.settings->path() },
+        process.outputPath);
 }
 
 RelayProcess &RelayProcessFixture::addProcess(int keyLifetime, const std::string &storeAddress)
@@ -65,8 +70,8 @@
     process.peerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     process.callerAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
     process.statusAddress = "127.0.0.1:" + std::to_string(unusedPort(loop_.context()));
-    process.settingsPath = folder_ + "/settings-" + number;
     process.outputPath = folder_ + "/output-" + number;
+    process.settings = std::make_unique<MemoryFile>("settings-" + number);
     const std::string &store = storeAddress.empty() ? store_.address() : storeAddress;
     writeSettings(process, settingsText(process, store, keyLifetime) + moreSettings_);
     processes_.push_back(std::move(process));
--- a/tests/system/relay_process_fixture.h
+++ b/tests/system/relay_process_fixture.h
@@ -7,6 +7,7 @@
 
 #include "tests/main/relay/relay_node_fixture.h"
 #include "tests/system/child_process.h"
+#include "tests/system/memory_file.h"
 
 namespace GeraniumLever {
 
@@ -17,8 +18,8 @@
     std::string peerAddress;
     std::string callerAddress;
     std::string statusAddress;
-    std::string settingsPath;
     std::string outputPath;
+    std::unique_ptr<MemoryFile> settings;
     std::unique_ptr<ChildProcess> child;
 };
 
